Add the design page and the first modules

Cause: the repository was empty. The page fixes modules, state, messages, failures and bounds; the first modules hold result codes, calls and the reader beneath the HTTP codec.

--- /dev/null
+++ b/src/code.rs
@@ -0,0 +1,113 @@
+//! Numbered result codes, the one source of `docs/codes.md` and `cornellink explain`.
+
+use http::StatusCode;
+
+macro_rules! codes {
+    ($($(#[doc = $doc:literal])+ $name:ident = $number:literal, $status:ident, $text:literal;)+) => {
+        /// The outcome of a call as the balancer reports it in the header `cornellink-code`.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[repr(u16)]
+        pub enum Code {
+            $($(#[doc = $doc])+ $name = $number,)+
+        }
+
+        impl Code {
+            /// All codes in ascending order.
+            pub const ALL: &'static [Code] = &[$(Code::$name,)+];
+
+            /// The HTTP status of an answer of the balancer's own with this code.
+            pub fn status(self) -> StatusCode {
+                match self {
+                    $(Self::$name => StatusCode::$status,)+
+                }
+            }
+
+            /// A short text for the answer's body and for logs.
+            pub fn text(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)+
+                }
+            }
+
+            /// A longer explanation for operators.
+            pub fn explanation(self) -> &'static str {
+                match self {
+                    $(Self::$name => concat!($($doc, "\n"),+),)+
+                }
+            }
+        }
+    };
+}
+
+codes! {
+    /// A target answered; the status and the body are the target's own.
+    Answered = 100, OK, "answered";
+    /// No target of the service can take the call. The call was not run.
+    NotRunNoTarget = 201, SERVICE_UNAVAILABLE, "not run: no target";
+    /// The call cannot meet its deadline, so it was not sent.
+    NotRunDeadline = 202, GATEWAY_TIMEOUT, "not run: deadline";
+    /// The queue of the service or the share of the workspace is full.
+    NotRunQueueFull = 203, TOO_MANY_REQUESTS, "not run: queue full";
+    /// The target refused the call before running it, as its contract allows.
+    NotRunRefused = 204, SERVICE_UNAVAILABLE, "not run: refused by target";
+    /// No connection to a target could be opened; no byte of the call was sent.
+    NotRunConnect = 205, BAD_GATEWAY, "not run: no connection";
+    /// The log did not confirm the claim of the idempotency key in time; the call was not sent.
+    NotRunClaim = 206, SERVICE_UNAVAILABLE, "not run: claim not possible";
+    /// The caller left before the call was sent.
+    NotRunCancelled = 207, SERVICE_UNAVAILABLE, "not run: cancelled";
+    /// The connection to the target was lost after the call was sent. The call may have run.
+    UnknownConnection = 301, BAD_GATEWAY, "outcome unknown: connection lost";
+    /// The deadline passed after the call was sent. The call may have run.
+    UnknownDeadline = 302, GATEWAY_TIMEOUT, "outcome unknown: deadline";
+    /// The target's answer was truncated, malformed or too large. The call may have run.
+    UnknownAnswer = 303, BAD_GATEWAY, "outcome unknown: bad answer";
+    /// The entry that holds the claim of this key cannot say what became of it.
+    UnknownClaim = 304, CONFLICT, "outcome unknown: claim holder gone";
+    /// The caller left after the call was sent.
+    UnknownCancelled = 305, BAD_GATEWAY, "outcome unknown: cancelled";
+    /// The document has no service for this path.
+    RefusedService = 401, NOT_FOUND, "refused: no such service";
+    /// The service has no class for this method and path.
+    RefusedClass = 402, NOT_FOUND, "refused: no such class";
+    /// The document does not name the call's workspace.
+    RefusedWorkspace = 403, FORBIDDEN, "refused: no such workspace";
+    /// The first call with this key has not ended yet.
+    RefusedDuplicate = 404, CONFLICT, "refused: key in use";
+    /// The key was issued before the window in which duplicates are recognized.
+    RefusedWindow = 405, CONFLICT, "refused: key too old";
+    /// The head of the call is larger than the limit.
+    MalformedHead = 501, REQUEST_HEADER_FIELDS_TOO_LARGE, "malformed: head too large";
+    /// The head or the body of the call did not arrive in time.
+    MalformedSlow = 502, REQUEST_TIMEOUT, "malformed: too slow";
+    /// The head cannot be parsed, or its length fields contradict each other.
+    MalformedFraming = 503, BAD_REQUEST, "malformed: framing";
+    /// The body is larger than the limit.
+    MalformedBody = 504, PAYLOAD_TOO_LARGE, "malformed: body too large";
+    /// The connection ended before the whole body arrived.
+    MalformedTruncated = 505, BAD_REQUEST, "malformed: truncated body";
+    /// No document is in force yet, or the entry is shutting down.
+    NotReady = 600, SERVICE_UNAVAILABLE, "not ready";
+}
+
+impl Code {
+    /// The number in the header `cornellink-code`.
+    pub fn number(self) -> u16 {
+        self as u16
+    }
+
+    /// Finds a code by its number.
+    pub fn from_number(number: u16) -> Option<Self> {
+        Self::ALL.iter().copied().find(|code| code.number() == number)
+    }
+
+    /// Whether the code promises that the call was not run.
+    pub fn is_not_run(self) -> bool {
+        matches!(self.number(), 200..=299 | 400..=699)
+    }
+
+    /// Whether the call may have run without a confirmed outcome.
+    pub fn is_unknown(self) -> bool {
+        matches!(self.number(), 300..=399)
+    }
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,58 @@
+//! The error type of the library.
+
+use std::fmt::{self, Display, Formatter};
+use std::io;
+use std::net::SocketAddr;
+
+/// Everything that can go wrong outside the answer to a call.
+#[derive(Debug)]
+pub enum Error {
+    /// An address could not be bound.
+    Bind { address: SocketAddr, source: io::Error },
+    /// A connection could not be opened.
+    Connect { address: SocketAddr, source: io::Error },
+    /// A connection failed after it was opened.
+    Connection { reason: String },
+    /// A document or a settings file failed its checks.
+    Document { problems: Vec<String> },
+    /// A file could not be read or written.
+    File { path: String, source: io::Error },
+    /// The platform gave an answer that does not follow its protocol.
+    Platform { reason: String },
+    /// The platform did not answer in time.
+    PlatformTimeout,
+    /// The runtime could not be built.
+    Runtime { source: io::Error },
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { address, source } => write!(f, "cannot bind `{address}`: {source}"),
+            Self::Connect { address, source } => {
+                write!(f, "cannot connect to `{address}`: {source}")
+            }
+            Self::Connection { reason } => write!(f, "connection failed: {reason}"),
+            Self::Document { problems } => write!(f, "{}", problems.join("\n")),
+            Self::File { path, source } => write!(f, "cannot access `{path}`: {source}"),
+            Self::Platform { reason } => write!(f, "unexpected answer of the platform: {reason}"),
+            Self::PlatformTimeout => write!(f, "the platform did not answer in time"),
+            Self::Runtime { source } => write!(f, "cannot build the runtime: {source}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Self::Bind { source, .. }
+            | Self::Connect { source, .. }
+            | Self::File { source, .. }
+            | Self::Runtime { source } => Some(source),
+            Self::Connection { .. }
+            | Self::Document { .. }
+            | Self::Platform { .. }
+            | Self::PlatformTimeout => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/request/answer.rs
@@ -0,0 +1,40 @@
+//! The answer to a call.
+
+use super::header;
+use crate::prelude::*;
+
+/// A whole answer, read from a target or made by the balancer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Creates an answer without headers.
+    pub fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self { status, headers: HeaderMap::new(), body: body.into() }
+    }
+
+    /// Creates an answer of the balancer's own.
+    pub fn own(code: Code) -> Self {
+        let body = serde_json::json!({ "code": code.number(), "text": code.text() }).to_string();
+        let mut answer = Self::new(code.status(), body);
+        answer.set("content-type", "application/json");
+        answer.set(header::CODE, &code.number().to_string());
+        answer
+    }
+
+    /// A header's value, if it is present and visible ASCII.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// Sets a header; an invalid value is left out.
+    pub fn set(&mut self, name: &'static str, value: &str) {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            self.headers.insert(HeaderName::from_static(name), value);
+        }
+    }
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,7 @@
+//! What lives for one request.
+
+pub mod answer;
+pub mod call;
+pub mod deadline;
+pub mod dispatch;
+pub mod header;
