--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -5,6 +5,7 @@
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
 use monoio_http::common::body::{Body, HttpBody};
+use monoio_http::common::error::HttpError;
 use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, Payload};
@@ -67,7 +68,7 @@
 
     /// Writes an answer.
     pub async fn answer(&mut self, answer: Answer) -> Result<()> {
-        let mut response = http::Response::new(Payload::<Bytes, Error>::None);
+        let mut response = http::Response::new(Payload::<Bytes, HttpError>::None);
         *response.status_mut() = answer.status;
         *response.headers_mut() = answer.headers;
         let headers = response.headers_mut();
@@ -92,7 +93,7 @@
 
     /// Closes the connection.
     pub async fn close(&mut self) {
-        let _ = Sink::<http::Response<Payload<Bytes, Error>>>::close(&mut self.encoder).await;
+        let _ = Sink::<http::Response<Payload<Bytes, HttpError>>>::close(&mut self.encoder).await;
     }
 }
 
--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -4,6 +4,7 @@
 use monoio::io::stream::Stream;
 use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
+use monoio_http::common::error::HttpError;
 use monoio_http::h1::codec::decoder::{FillPayload, ResponseDecoder};
 use monoio_http::h1::codec::encoder::GenericEncoder;
 use monoio_http::h1::payload::{FixedPayload, Payload};
@@ -71,7 +72,7 @@
     }
 
     async fn send(&mut self, call: &Call) -> std::result::Result<(), Fault> {
-        let mut request = http::Request::new(Payload::<Bytes, Error>::None);
+        let mut request = http::Request::new(Payload::<Bytes, HttpError>::None);
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = call.uri.clone();
         *request.headers_mut() = call.headers.clone();
@@ -84,7 +85,10 @@
         self.encoder.send_and_flush(request).await.map_err(|_| Fault::Truncated)
     }
 
-    async fn final_head(&mut self, method: &Method) -> std::result::Result<(usize, Framing), Fault> {
+    async fn final_head(
+        &mut self,
+        method: &Method,
+    ) -> std::result::Result<(usize, Framing), Fault> {
         loop {
             let length = self.guard.fill_head(&self.limits).await?;
             let (status, framing) = answer_framing(self.guard.head(length), method)?;
--- /dev/null
+++ b/src/demo/mod.rs
@@ -0,0 +1,51 @@
+//! The demo: entries, stand-in targets and a stand-in log in one process on loopback.
+
+pub mod deployment;
+pub mod part;
+pub mod table;
+pub mod traffic;
+
+use clap::{Arg, ArgAction, Command};
+
+use crate::prelude::*;
+
+/// The result of a part of the demo.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Runs the demo.
+pub fn run() -> eyre::Result<()> {
+    let matches = command().get_matches();
+    let deployment = deployment::Deployment::start()?;
+    let results = traffic::send(&deployment)?;
+    table::print(&results, &deployment, matches.get_flag("json"));
+    if matches.get_flag("serve") {
+        deployment.print_addresses();
+        loop {
+            std::thread::park();
+        }
+    }
+    eyre::ensure!(results.faults == 0, "`{}` answers were wrong or missing", results.faults);
+    eyre::ensure!(deployment.doubled() == 0, "`{}` keyed calls ran twice", deployment.doubled());
+    Ok(())
+}
+
+fn command() -> Command {
+    Command::new("cornellink-demo")
+        .about("Runs the whole path in one process on loopback and prints what happened")
+        .version(env!("CARGO_PKG_VERSION"))
+        .after_help(
+            "Examples:\n  cornellink-demo\n  cornellink-demo --json\n  cornellink-demo --serve",
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("End the output with one JSON object"),
+        )
+        .arg(
+            Arg::new("serve")
+                .long("serve")
+                .action(ArgAction::SetTrue)
+                .help("Stay up after the calls"),
+        )
+}
--- /dev/null
+++ b/src/platform/stand_in/mod.rs
@@ -0,0 +1,5 @@
+//! Stand-ins of the platform for tests, benchmarks and the demo.
+
+pub mod log;
+pub mod service;
+pub mod target;
--- /dev/null
+++ b/src/platform/stand_in/target.rs
@@ -0,0 +1,168 @@
+//! A target with slots, a queue, load reports, draining and faults.
+
+use std::collections::{HashMap, VecDeque};
+
+use local_sync::oneshot;
+
+use crate::prelude::*;
+use crate::request::header;
+
+/// Path of the probe.
+const PROBE_PATH: &str = "/cornellink/probe";
+/// Header in which a test names the service time in microseconds.
+pub const SERVICE_TIME: &str = "stand-in-service-us";
+
+/// Behaviour of a target that a test changes at run time.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetFaults {
+    /// Answers 500 at once without running the call.
+    pub failing: bool,
+    /// Factor on every service time.
+    pub slowdown: u32,
+    /// Refuses new calls by contract and says that it drains.
+    pub draining: bool,
+}
+
+impl Default for TargetFaults {
+    fn default() -> Self {
+        Self { failing: false, slowdown: 1, draining: false }
+    }
+}
+
+/// A target that sleeps for each call's service time while it holds one of its slots.
+pub struct StandInTarget {
+    slots: usize,
+    service_time: Duration,
+    probe_time: Duration,
+    running: Cell<usize>,
+    waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+    faults: Cell<TargetFaults>,
+    runs: RefCell<HashMap<String, u32>>,
+    calls: Cell<u64>,
+    probes: RefCell<Vec<Instant>>,
+}
+
+impl StandInTarget {
+    /// Creates a target; `service_time` applies to calls that name none.
+    pub fn new(slots: usize, service_time: Duration) -> Self {
+        Self {
+            slots,
+            service_time,
+            probe_time: Duration::from_millis(6),
+            running: Cell::new(0),
+            waiting: RefCell::default(),
+            faults: Cell::default(),
+            runs: RefCell::default(),
+            calls: Cell::new(0),
+            probes: RefCell::default(),
+        }
+    }
+
+    /// Changes the behaviour.
+    pub fn set_faults(&self, faults: TargetFaults) {
+        self.faults.set(faults);
+    }
+
+    /// How many times each idempotency key ran.
+    pub fn runs(&self) -> HashMap<String, u32> {
+        self.runs.borrow().clone()
+    }
+
+    /// Number of calls that ran.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Times of all probes so far.
+    pub fn probes(&self) -> Vec<Instant> {
+        self.probes.borrow().clone()
+    }
+
+    /// Answers one call.
+    pub async fn handle(self: Rc<Self>, call: Call) -> Answer {
+        if call.uri.path() == PROBE_PATH {
+            return self.probe().await;
+        }
+        let faults = self.faults.get();
+        if faults.failing {
+            return self.report(Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "failing"));
+        }
+        if faults.draining {
+            let mut answer = Answer::new(StatusCode::SERVICE_UNAVAILABLE, "draining");
+            answer.set(header::REFUSED, "draining");
+            return self.report(answer);
+        }
+        let named = call.header(SERVICE_TIME).and_then(|value| value.parse().ok());
+        let time = named.map_or(self.service_time, Duration::from_micros) * faults.slowdown;
+        self.run(&call, time).await;
+        self.report(echo(&call))
+    }
+
+    async fn run(&self, call: &Call, time: Duration) {
+        let _slot = self.take_slot().await;
+        self.calls.set(self.calls.get() + 1);
+        if let Some(key) = call.header(header::IDEMPOTENCY_KEY) {
+            *self.runs.borrow_mut().entry(key.into()).or_default() += 1;
+        }
+        monoio::time::sleep(time).await;
+    }
+
+    async fn probe(&self) -> Answer {
+        self.probes.borrow_mut().push(Instant::now());
+        let _slot = self.take_slot().await;
+        monoio::time::sleep(self.probe_time).await;
+        let body = serde_json::json!({
+            "running": self.running.get() - 1,
+            "queued": self.waiting.borrow().len(),
+            "slots": self.slots,
+            "draining": self.faults.get().draining,
+        });
+        self.report(Answer::new(StatusCode::OK, body.to_string()))
+    }
+
+    async fn take_slot(&self) -> Slot<'_> {
+        if self.running.get() < self.slots {
+            self.running.set(self.running.get() + 1);
+            return Slot { target: self };
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push_back(sender);
+        // The slot passes from the call that ends to this one, so the count stays.
+        let _ = receiver.await;
+        Slot { target: self }
+    }
+
+    fn report(&self, mut answer: Answer) -> Answer {
+        let (running, queued) = (self.running.get(), self.waiting.borrow().len());
+        let load = format!("running={running},queued={queued},slots={}", self.slots);
+        answer.set(header::LOAD, &load);
+        if self.faults.get().draining {
+            answer.set(header::DRAINING, "1");
+        }
+        answer
+    }
+}
+
+struct Slot<'a> {
+    target: &'a StandInTarget,
+}
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        let mut waiting = self.target.waiting.borrow_mut();
+        while let Some(sender) = waiting.pop_front() {
+            if sender.send(()).is_ok() {
+                return;
+            }
+        }
+        self.target.running.set(self.target.running.get() - 1);
+    }
+}
+
+/// An answer that a caller can check against its own call.
+fn echo(call: &Call) -> Answer {
+    let path = call.uri.path_and_query().map_or("/", |path| path.as_str());
+    let mut body = BytesMut::from(format!("{} {path} ", call.method).as_bytes());
+    body.extend_from_slice(&call.body);
+    Answer::new(StatusCode::OK, body.freeze())
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,32 @@
+//! What lives for the process of an entry.
+
+pub mod entry;
+pub mod fleet;
+pub mod follower;
+pub mod logging;
+pub mod observe;
+pub mod pool;
+pub mod runtime;
+pub mod settings;
+pub mod target;
+
+use eyre::WrapErr;
+
+use crate::prelude::*;
+
+/// The result of an operation of the process.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Runs an entry with the settings named on the command line.
+pub fn run() -> eyre::Result<()> {
+    let matches = clap::Command::new("cornellink-entry")
+        .about("Serves callers on one entry VM")
+        .version(env!("CARGO_PKG_VERSION"))
+        .arg(clap::Arg::new("settings").required(true).help("Path of the settings file"))
+        .get_matches();
+    let path: &String = matches.get_one("settings").expect("`settings` is required");
+    let settings = settings::Settings::load(path).wrap_err("cannot start the entry")?;
+    logging::init(&settings.log);
+    runtime::block_on(entry::serve(settings))??;
+    Ok(())
+}
--- /dev/null
+++ b/src/process/observe.rs
@@ -0,0 +1,50 @@
+//! Metrics of an entry.
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
+
+use crate::prelude::*;
+
+/// Bounds of the latency histograms' buckets in seconds.
+const BUCKETS: &[f64] = &[
+    0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.2,
+    0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
+];
+
+/// The recorder of one entry; several entries in one process each have their own.
+pub struct Metrics {
+    recorder: PrometheusRecorder,
+    handle: PrometheusHandle,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let builder = PrometheusBuilder::new();
+        let builder = builder.set_buckets(BUCKETS).expect("the bounds are not empty");
+        let recorder = builder.build_recorder();
+        let handle = recorder.handle();
+        Self { recorder, handle }
+    }
+}
+
+impl Metrics {
+    /// Records an answered call.
+    pub fn call(&self, workspace: &str, class: &str, code: Code, whole: Duration) {
+        let labels = [("workspace", workspace.to_owned()), ("class", class.to_owned())];
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::histogram!("cornellink_call_seconds", &labels).record(whole);
+            metrics::counter!("cornellink_calls_total", "code" => code.number().to_string())
+                .increment(1);
+        });
+    }
+
+    /// Adds to a counter without labels.
+    pub fn count(&self, name: &'static str) {
+        metrics::with_local_recorder(&self.recorder, || metrics::counter!(name).increment(1));
+    }
+
+    /// The metrics as Prometheus text.
+    pub fn render(&self) -> String {
+        self.handle.run_upkeep();
+        self.handle.render()
+    }
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,17 @@
+//! What lives for one version of the document.
+
+pub mod class;
+pub mod document;
+pub mod history;
+pub mod keys;
+pub mod parse;
+pub mod policy;
+pub mod record;
+pub mod revision;
+pub mod service;
+pub mod workspace;
+
+use crate::prelude::*;
+
+/// The result of reading a document.
+pub type Result<T> = std::result::Result<T, Error>;
