--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -1,17 +1,16 @@
 //! The Hungarian deployment on loopback.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
-
-use super::{part, Result};
-use crate::connection::server;
+use super::Result;
+use crate::connection::client::Client;
 use crate::platform::http_log::HttpLog;
 use crate::platform::log::Log;
-use crate::platform::stand_in::log::MemoryLog;
+use crate::platform::stand_in::host::{bind_loopback, Host};
+use crate::platform::stand_in::hosted::{host_platform, host_targets, TargetHost};
 use crate::platform::stand_in::service::PlatformService;
 use crate::platform::stand_in::target::StandInTarget;
 use crate::prelude::*;
 use crate::process::entry::{self, Entry};
+use crate::process::runtime::block_on;
 use crate::process::settings::Settings;
 use crate::version::record::{ConfigRecord, PublishRecord, STREAM};
 
@@ -23,57 +22,64 @@
 const RETENTION: Duration = Duration::from_secs(3600);
 /// Longest wait for the document to be in force on every entry.
 const READY_TIMEOUT: Duration = Duration::from_secs(6);
+/// Pause between two looks at an entry that is not ready.
+const READY_INTERVAL: Duration = Duration::from_millis(5);
+/// Longest wait for an operation of the log.
+const LOG_TIMEOUT: Duration = Duration::from_secs(2);
 /// Services, path prefixes and numbers of targets.
 const SERVICES: [(&str, &str, usize); 3] =
     [("ticket-desk", "/tickets", 10), ("job-booking", "/jobs", 6), ("stock", "/stock", 12)];
+/// Slots of each target.
+const SLOTS: usize = 3;
+/// Service time of each call.
+const SERVICE_TIME: Duration = Duration::from_millis(4);
 
-type Runs = Arc<Mutex<HashMap<String, u32>>>;
-
-/// Addresses of the parts, and what the targets ran.
+/// The parts and their addresses; the parts end when it is dropped.
 pub struct Deployment {
     pub entries: Vec<SocketAddr>,
     pub admins: Vec<SocketAddr>,
-    runs: Runs,
+    targets: Vec<TargetHost>,
+    _entry_hosts: Vec<Host<()>>,
+    _platform: Host<Rc<PlatformService>>,
 }
 
 impl Deployment {
     /// Starts all parts and publishes the document.
     pub fn start() -> Result<Self> {
-        let runs = Runs::default();
-        let platform = part::start(|ready| async move {
-            let log = Rc::new(MemoryLog::new(RETENTION));
-            let service = Rc::new(PlatformService::new(log));
-            let bound = bind();
-            let listener = match bound {
-                Ok((listener, address)) => {
-                    let _ = ready.send(Ok(address));
-                    listener
-                }
-                Err(error) => {
-                    let _ = ready.send(Err(error));
-                    return;
-                }
-            };
-            server::serve(listener, move |call| service.clone().handle(call)).await;
-        })?;
-        let targets = start_targets(runs.clone())?;
-        publish(platform, document(&targets))?;
-        let mut entries = Vec::new();
-        let mut admins = Vec::new();
+        let (platform, address) = host_platform(RETENTION)?;
+        let mut targets = Vec::new();
+        let mut target_addresses = Vec::new();
+        for (_, _, count) in SERVICES {
+            let (host, addresses) = host_targets(count, SLOTS, SERVICE_TIME)?;
+            targets.push(host);
+            target_addresses.push(addresses);
+        }
+        publish(address, document(&target_addresses))?;
+        let mut deployment = Self {
+            entries: Vec::new(),
+            admins: Vec::new(),
+            targets,
+            _entry_hosts: Vec::new(),
+            _platform: platform,
+        };
         for index in 0..ENTRIES {
-            let (listen, admin) = start_entry(index, platform)?;
-            entries.push(listen);
-            admins.push(admin);
+            deployment.start_entry(index, address)?;
         }
-        let deployment = Self { entries, admins, runs };
         deployment.wait_ready()?;
         Ok(deployment)
     }
 
     /// Number of keys that ran more than once.
     pub fn doubled(&self) -> usize {
-        let runs = self.runs.lock().expect("no holder of the lock panics");
-        runs.values().filter(|count| **count > 1).count()
+        let doubled = |targets: &Vec<Rc<StandInTarget>>| {
+            let runs = targets.iter().flat_map(|target| target.runs());
+            let mut all = std::collections::HashMap::new();
+            for (key, count) in runs {
+                *all.entry(key).or_insert(0) += count;
+            }
+            all.values().filter(|count| **count > 1).count()
+        };
+        self.targets.iter().map(|host| host.with(doubled)).sum()
     }
 
     /// Prints where to send requests.
@@ -84,18 +90,44 @@
         }
     }
 
+    fn start_entry(&mut self, index: usize, platform: SocketAddr) -> Result<()> {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let host = Host::start(move || async move {
+            let (listener, listen) = bind_loopback()?;
+            let (admin_listener, admin) = bind_loopback()?;
+            let settings = Settings {
+                name: format!("entry-{index}"),
+                listen,
+                admin,
+                domain: DOMAINS[index % DOMAINS.len()].into(),
+                platform,
+                log: "warn".into(),
+            };
+            let log: Rc<dyn Log> = Rc::new(HttpLog::new(platform, LOG_TIMEOUT));
+            let entry = Rc::new(Entry::new(settings));
+            monoio::spawn(entry::run(entry, listener, admin_listener, log));
+            let _ = sender.send((listen, admin));
+            Ok(())
+        })?;
+        let (listen, admin) = receiver.recv().map_err(|_| Error::PlatformTimeout)?;
+        self.entries.push(listen);
+        self.admins.push(admin);
+        self._entry_hosts.push(host);
+        Ok(())
+    }
+
     fn wait_ready(&self) -> Result<()> {
         let admins = self.admins.clone();
-        crate::process::runtime::block_on(async move {
+        block_on(async move {
             let end = Instant::now() + READY_TIMEOUT;
             for admin in admins {
-                let client = crate::connection::client::Client::new(admin, READY_TIMEOUT);
+                let client = Client::new(admin, READY_TIMEOUT);
                 let call = Call::new(Method::GET, Uri::from_static("/ready"));
                 while client.call(&call).await?.status != StatusCode::OK {
                     if Instant::now() > end {
                         return Err(Error::PlatformTimeout);
                     }
-                    monoio::time::sleep(Duration::from_millis(5)).await;
+                    monoio::time::sleep(READY_INTERVAL).await;
                 }
             }
             Ok(())
@@ -103,74 +135,8 @@
     }
 }
 
-fn bind() -> Result<(monoio::net::TcpListener, SocketAddr)> {
-    let listener = server::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-    let address = listener.local_addr();
-    let address = address.map_err(|error| Error::Connection { reason: error.to_string() })?;
-    Ok((listener, address))
-}
-
-fn start_targets(runs: Runs) -> Result<Vec<Vec<SocketAddr>>> {
-    part::start(move |ready| async move {
-        let mut addresses = Vec::new();
-        for (_, _, count) in SERVICES {
-            let mut service = Vec::new();
-            for _ in 0..count {
-                let (listener, address) = match bind() {
-                    Ok(bound) => bound,
-                    Err(error) => {
-                        let _ = ready.send(Err(error));
-                        return;
-                    }
-                };
-                let target = Rc::new(StandInTarget::new(3, Duration::from_millis(4)));
-                let runs = runs.clone();
-                monoio::spawn(server::serve(listener, move |call: Call| {
-                    let target = target.clone();
-                    let runs = runs.clone();
-                    async move {
-                        if let Some(key) = call.header(crate::request::header::IDEMPOTENCY_KEY) {
-                            let mut runs = runs.lock().expect("no holder of the lock panics");
-                            *runs.entry(key.into()).or_default() += 1;
-                        }
-                        target.handle(call).await
-                    }
-                }));
-                service.push(address);
-            }
-            addresses.push(service);
-        }
-        let _ = ready.send(Ok(addresses));
-        std::future::pending::<()>().await;
-    })
-}
-
-fn start_entry(index: usize, platform: SocketAddr) -> Result<(SocketAddr, SocketAddr)> {
-    part::start(move |ready| async move {
-        let bound = bind().and_then(|caller| Ok((caller, bind()?)));
-        let ((listener, listen), (admin_listener, admin)) = match bound {
-            Ok(bound) => bound,
-            Err(error) => {
-                let _ = ready.send(Err(error));
-                return;
-            }
-        };
-        let settings = Settings {
-            name: format!("entry-{index}"),
-            listen,
-            admin,
-            domain: DOMAINS[index % DOMAINS.len()].into(),
-            platform,
-            log: "warn".into(),
-        };
-        let _ = ready.send(Ok((listen, admin)));
-        let log: Rc<dyn Log> = Rc::new(HttpLog::new(platform, Duration::from_secs(2)));
-        let _ = entry::run(Rc::new(Entry::new(settings)), listener, admin_listener, log).await;
-    })
-}
-
 fn publish(platform: SocketAddr, text: String) -> Result<()> {
-    crate::process::runtime::block_on(async move {
+    block_on(async move {
         let record = ConfigRecord::Publish(PublishRecord {
             format: 1,
             environment: "trial".into(),
@@ -179,7 +145,7 @@
             replaces: 0,
             text,
         });
-        let log = HttpLog::new(platform, Duration::from_secs(2));
+        let log = HttpLog::new(platform, LOG_TIMEOUT);
         log.append(STREAM, vec![record.encode()]).await.map(|_| ())
     })?
 }
@@ -192,7 +158,7 @@
         serde_json::json!({
             "name": name,
             "prefix": prefix,
-            "slots": 3,
+            "slots": SLOTS,
             "connections": 200,
             "queue": 200,
             "probePercent": 1.0,
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -1,7 +1,6 @@
 //! The demo: entries, stand-in targets and a stand-in log in one process on loopback.
 
 pub mod deployment;
-pub mod part;
 pub mod table;
 pub mod traffic;
 
--- /dev/null
+++ b/src/platform/stand_in/host.rs
@@ -0,0 +1,102 @@
+//! A thread that hosts stand-ins and lets other threads work on them.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::mpsc::{self, Receiver, Sender};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use crate::error::Error;
+use crate::platform::Result;
+use crate::process::runtime::block_on;
+
+/// Time between two looks for work from other threads.
+const POLL_INTERVAL: Duration = Duration::from_millis(1);
+
+type Job<T> = Box<dyn FnOnce(Rc<T>) + Send>;
+
+/// A handle to stand-ins of type `T` that live on a thread of their own.
+pub struct Host<T> {
+    jobs: Option<Sender<Job<T>>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl<T: 'static> Host<T> {
+    /// Starts a thread that builds the stand-ins with `start`.
+    ///
+    /// Tasks that `start` spawned end with the thread, when the handle is dropped.
+    pub fn start<S, F>(start: S) -> Result<Self>
+    where
+        S: FnOnce() -> F + Send + 'static,
+        F: Future<Output = Result<T>>,
+    {
+        let (jobs, receiver) = mpsc::channel();
+        let (ready, started) = mpsc::channel();
+        let thread = thread::spawn(move || {
+            let outcome = block_on(async move {
+                match start().await {
+                    Ok(stand_ins) => {
+                        let _ = ready.send(Ok(()));
+                        work(Rc::new(stand_ins), receiver).await;
+                    }
+                    Err(error) => {
+                        let _ = ready.send(Err(error));
+                    }
+                }
+            });
+            if let Err(error) = outcome {
+                log::error!("cannot host the stand-ins: {error}");
+            }
+        });
+        let stopped = || Error::Connection { reason: "the host of the stand-ins stopped".into() };
+        started.recv().unwrap_or_else(|_| Err(stopped()))?;
+        Ok(Self { jobs: Some(jobs), thread: Some(thread) })
+    }
+
+    /// Runs a function on the stand-ins and returns its result.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the host has stopped.
+    pub fn with<R, W>(&self, work: W) -> R
+    where
+        R: Send + 'static,
+        W: FnOnce(&T) -> R + Send + 'static,
+    {
+        let (sender, receiver) = mpsc::channel();
+        let job: Job<T> = Box::new(move |stand_ins| {
+            let _ = sender.send(work(&stand_ins));
+        });
+        let jobs = self.jobs.as_ref().expect("the sender lives until the handle is dropped");
+        jobs.send(job).expect("the host runs until the handle is dropped");
+        receiver.recv().expect("the host answers every job")
+    }
+}
+
+impl<T> Drop for Host<T> {
+    fn drop(&mut self) {
+        self.jobs.take();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+async fn work<T>(stand_ins: Rc<T>, jobs: Receiver<Job<T>>) {
+    loop {
+        match jobs.try_recv() {
+            Ok(job) => job(stand_ins.clone()),
+            Err(mpsc::TryRecvError::Empty) => monoio::time::sleep(POLL_INTERVAL).await,
+            Err(mpsc::TryRecvError::Disconnected) => return,
+        }
+    }
+}
+
+/// Binds a free port on loopback.
+pub fn bind_loopback() -> Result<(monoio::net::TcpListener, SocketAddr)> {
+    let listener = crate::connection::server::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let address = listener.local_addr();
+    let address = address.map_err(|error| Error::Connection { reason: error.to_string() })?;
+    Ok((listener, address))
+}
--- /dev/null
+++ b/src/platform/stand_in/hosted.rs
@@ -0,0 +1,52 @@
+//! Hosts of the platform and of targets, ready to be addressed over loopback.
+
+use super::host::{bind_loopback, Host};
+use super::log::MemoryLog;
+use super::service::PlatformService;
+use super::target::StandInTarget;
+use crate::connection::server;
+use crate::platform::Result;
+use crate::prelude::*;
+
+/// Targets on a thread of their own.
+pub type TargetHost = Host<Vec<Rc<StandInTarget>>>;
+
+/// Starts the platform's services and returns their address.
+pub fn host_platform(retention: Duration) -> Result<(Host<Rc<PlatformService>>, SocketAddr)> {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let host = Host::start(move || async move {
+        let (listener, address) = bind_loopback()?;
+        let service = Rc::new(PlatformService::new(Rc::new(MemoryLog::new(retention))));
+        let handler = service.clone();
+        monoio::spawn(server::serve(listener, move |call| handler.clone().handle(call)));
+        let _ = sender.send(address);
+        Ok(service)
+    })?;
+    let address = receiver.recv().map_err(|_| Error::PlatformTimeout)?;
+    Ok((host, address))
+}
+
+/// Starts `count` targets on one thread and returns their addresses.
+pub fn host_targets(
+    count: usize,
+    slots: usize,
+    service_time: Duration,
+) -> Result<(TargetHost, Vec<SocketAddr>)> {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let host = Host::start(move || async move {
+        let mut targets = Vec::new();
+        let mut addresses = Vec::new();
+        for _ in 0..count {
+            let (listener, address) = bind_loopback()?;
+            let target = Rc::new(StandInTarget::new(slots, service_time));
+            let handler = target.clone();
+            monoio::spawn(server::serve(listener, move |call| handler.clone().handle(call)));
+            targets.push(target);
+            addresses.push(address);
+        }
+        let _ = sender.send(addresses);
+        Ok(targets)
+    })?;
+    let addresses = receiver.recv().map_err(|_| Error::PlatformTimeout)?;
+    Ok((host, addresses))
+}
--- a/src/platform/stand_in/mod.rs
+++ b/src/platform/stand_in/mod.rs
@@ -1,5 +1,7 @@
 //! Stand-ins of the platform for tests, benchmarks and the demo.
 
+pub mod host;
+pub mod hosted;
 pub mod log;
 pub mod service;
 pub mod target;
