Read whole messages in the guard and shut entries down gracefully

The codec buffered bodies without a bound, failed on chunk extensions and trailers, and wrote through a stream that hid how many bytes the kernel had taken. The guard now reads heads and bodies itself, an exact chunk scanner keeps chunked connections usable, and the codec decodes checked heads only. A target connection reports whether a byte of the request may have been taken, and a closed idle connection is noticed before a write.

SIGTERM makes an entry report 600, stop its listener, close idle connections and join all its tasks within a limit.

--- a/src/code.rs
+++ b/src/code.rs
@@ -88,6 +88,8 @@
     MalformedTruncated = 505, BAD_REQUEST, "malformed: truncated body";
     /// No document is in force yet, or the entry is shutting down.
     NotReady = 600, SERVICE_UNAVAILABLE, "not ready";
+    /// The entry has as many connections from callers as its settings allow.
+    NotReadyConnections = 601, SERVICE_UNAVAILABLE, "not ready: too many connections";
 }
 
 impl Code {
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -1,62 +1,80 @@
 //! A connection from a caller.
 
-use monoio::io::sink::{Sink, SinkExt};
-use monoio::io::stream::Stream;
-use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
-use monoio_http::common::body::{Body, HttpBody};
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::decoder::{FillPayload, RequestDecoder};
-use monoio_http::h1::codec::encoder::GenericEncoder;
-use monoio_http::h1::payload::{FixedPayload, Payload};
 
-use super::guard::{request_framing, Fault, Framing, Guard};
+use super::decode::decode_call;
+use super::encode::encode_answer;
+use super::fault::Fault;
+use super::framing::{request_framing, Framing};
+use super::guard::Guard;
 use super::limits::Limits;
 use super::Result;
 use crate::prelude::*;
 
+/// Interim response that asks a caller for the body.
+const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+/// Time in which a caller may take the last answer before the connection is closed. Closing with
+/// unread bytes resets the connection, and a reset can destroy an answer on its way.
+const LINGER: Duration = Duration::from_secs(1);
+
 /// The server's side of one connection.
 pub struct CallerConnection {
-    guard: Guard<OwnedReadHalf<TcpStream>>,
-    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
+    guard: Guard,
     limits: Limits,
     reusable: bool,
+    head_only: bool,
 }
 
 impl CallerConnection {
     /// Wraps an accepted stream.
     pub fn new(stream: TcpStream, limits: Limits) -> Self {
-        let _ = stream.set_nodelay(true);
-        let (reader, writer) = stream.into_split();
-        Self {
-            guard: Guard::new(reader),
-            encoder: GenericEncoder::new(writer),
-            limits,
-            reusable: true,
-        }
+        Self { guard: Guard::new(stream), limits, reusable: true, head_only: false }
     }
 
-    /// Reads the next call; `Closed` is the regular end of the connection.
-    pub async fn next(&mut self) -> std::result::Result<Call, Fault> {
+    /// Waits for the first byte of the next call; no byte is lost when the wait is dropped.
+    pub async fn idle(&mut self) -> std::result::Result<(), Fault> {
         if !self.reusable {
             return Err(Fault::Closed);
         }
-        let length = self.guard.fill_head(&self.limits).await?;
-        let framing = request_framing(self.guard.head(length))?;
-        self.guard.allow(length, framing, &self.limits)?;
-        // A chunked body can be followed by bytes that the codec has not taken, so the
-        // connection ends with this call.
-        self.reusable = framing != Framing::Chunked;
-        monoio::time::timeout(self.limits.body_time, read_call(&mut self.guard))
-            .await
-            .unwrap_or(Err(Fault::TooSlow))
+        if self.guard.unread() > 0 {
+            return Ok(());
+        }
+        match monoio::time::timeout(self.limits.idle_time, self.guard.fill()).await {
+            Err(_) | Ok(Err(_)) | Ok(Ok(0)) => Err(Fault::Closed),
+            Ok(Ok(_)) => Ok(()),
+        }
     }
 
-    /// Resolves when the caller has closed the connection or sent more than one waiting call.
+    /// Reads the next call; `Closed` is the regular end of the connection.
+    pub async fn next(&mut self) -> std::result::Result<Call, Fault> {
+        self.idle().await?;
+        self.head_only = false;
+        let head = self.guard.head(&self.limits).await?;
+        let framing = request_framing(&head)?;
+        let head = decode_call(head)?;
+        self.head_only = head.call.method == Method::HEAD;
+        self.reusable &= !head.close;
+        let mut call = head.call;
+        let body = read_body(&mut self.guard, framing, head.expects, &self.limits);
+        call.body = match framing {
+            Framing::Empty => Bytes::new(),
+            _ => monoio::time::timeout(self.limits.body_time, body)
+                .await
+                .unwrap_or(Err(Fault::TooSlow))?,
+        };
+        Ok(call)
+    }
+
+    /// Whether bytes of a next call have arrived.
+    pub fn has_waiting(&self) -> bool {
+        self.reusable && !self.guard.is_quiet()
+    }
+
+    /// Resolves when the caller has closed the connection.
     pub async fn closed(&mut self) {
         loop {
-            if self.guard.has_unread() {
-                // The caller has sent its next call and so is still there.
+            if self.guard.unread() > self.limits.head_bytes {
+                // The caller sends its next calls; reading on would buffer them without a bound.
                 std::future::pending::<()>().await;
             }
             match self.guard.fill().await {
@@ -68,22 +86,16 @@
 
     /// Writes an answer.
     pub async fn answer(&mut self, answer: Answer) -> Result<()> {
-        let mut response = http::Response::new(Payload::<Bytes, HttpError>::None);
-        *response.status_mut() = answer.status;
-        *response.headers_mut() = answer.headers;
-        let headers = response.headers_mut();
-        headers.remove(http::header::TRANSFER_ENCODING);
-        headers.remove(http::header::CONTENT_LENGTH);
-        if !self.reusable {
-            headers.insert(http::header::CONNECTION, HeaderValue::from_static("close"));
+        let (head, body) = encode_answer(answer, self.head_only, !self.reusable);
+        let write = async {
+            self.guard.write(head).await?;
+            self.guard.write(body).await
+        };
+        match monoio::time::timeout(self.limits.write_time, write).await {
+            Ok(Ok(())) => Ok(()),
+            Ok(Err(error)) => Err(Error::Connection { reason: error.to_string() }),
+            Err(_) => Err(Error::Connection { reason: "the caller reads too slowly".into() }),
         }
-        if !answer.body.is_empty() {
-            *response.body_mut() = Payload::Fixed(FixedPayload::new(answer.body));
-        }
-        self.encoder
-            .send_and_flush(response)
-            .await
-            .map_err(|error| Error::Connection { reason: error.to_string() })
     }
 
     /// Makes the next answer the last one of the connection.
@@ -91,32 +103,28 @@
         self.reusable = false;
     }
 
-    /// Closes the connection.
-    pub async fn close(&mut self) {
-        let _ = Sink::<http::Response<Payload<Bytes, HttpError>>>::close(&mut self.encoder).await;
+    /// Closes the connection once the caller has seen its end.
+    pub async fn close(mut self) {
+        self.guard.end_writes().await;
+        let _ = monoio::time::timeout(LINGER, async {
+            while matches!(self.guard.fill().await, Ok(1..)) {
+                self.guard.discard();
+            }
+        })
+        .await;
     }
 }
 
-async fn read_call(
-    guard: &mut Guard<OwnedReadHalf<TcpStream>>,
-) -> std::result::Result<Call, Fault> {
-    let mut decoder = RequestDecoder::new(guard);
-    let request = match decoder.next().await {
-        Some(Ok(request)) => request,
-        Some(Err(_)) | None => return Err(Fault::Framing),
-    };
-    decoder.fill_payload().await.map_err(|_| Fault::Truncated)?;
-    let (parts, payload) = request.into_parts();
-    let body = read_body(payload).await?;
-    Ok(Call { method: parts.method, uri: parts.uri, headers: parts.headers, body })
-}
-
-/// Collects a body that the codec has read whole.
-pub(super) async fn read_body(payload: Payload) -> std::result::Result<Bytes, Fault> {
-    let mut body = HttpBody::from(payload);
-    let mut bytes = BytesMut::new();
-    while let Some(chunk) = body.next_data().await {
-        bytes.extend_from_slice(&chunk.map_err(|_| Fault::Truncated)?);
+async fn read_body(
+    guard: &mut Guard,
+    framing: Framing,
+    expects: bool,
+    limits: &Limits,
+) -> std::result::Result<Bytes, Fault> {
+    let is_allowed = !matches!(framing, Framing::Length(length) if length > limits.body_bytes);
+    if expects && is_allowed && guard.unread() == 0 {
+        let write = guard.write(Bytes::from_static(CONTINUE));
+        write.await.map_err(|_| Fault::Truncated)?;
     }
-    Ok(bytes.freeze())
+    guard.body(framing, limits).await
 }
--- a/src/connection/client.rs
+++ b/src/connection/client.rs
@@ -1,5 +1,6 @@
 //! A small HTTP client for the platform's services and the tools.
 
+use super::fault::Lost;
 use super::limits::Limits;
 use super::target::TargetConnection;
 use super::Result;
@@ -29,20 +30,45 @@
     }
 
     async fn exchange(&self, call: &Call) -> Result<Answer> {
-        let idle = self.idle.borrow_mut().pop();
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                TargetConnection::connect(self.address, self.timeout, Limits::for_answers()).await?
+        loop {
+            let idle = self.take_idle();
+            let is_new = idle.is_none();
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => self.connect().await?,
+            };
+            match connection.exchange(call).await {
+                Ok(answer) => {
+                    self.keep(connection);
+                    return Ok(answer);
+                }
+                // The server closed an idle connection before it could take a byte of the call.
+                Err(Lost { sent: false, .. }) if !is_new => {}
+                Err(lost) => {
+                    return Err(Error::Connection { reason: format!("{:?}", lost.fault) });
+                }
             }
-        };
-        let answer = connection
-            .exchange(call)
-            .await
-            .map_err(|fault| Error::Connection { reason: format!("{fault:?}") })?;
-        if connection.is_reusable() && self.idle.borrow().len() < MAX_IDLE {
-            self.idle.borrow_mut().push(connection);
         }
-        Ok(answer)
+    }
+
+    async fn connect(&self) -> Result<TargetConnection> {
+        TargetConnection::connect(self.address, self.timeout, Limits::for_answers()).await
+    }
+
+    fn take_idle(&self) -> Option<TargetConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_open() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, connection: TargetConnection) {
+        let mut idle = self.idle.borrow_mut();
+        if connection.is_reusable() && idle.len() < MAX_IDLE {
+            idle.push(connection);
+        }
     }
 }
--- a/src/connection/limits.rs
+++ b/src/connection/limits.rs
@@ -15,6 +15,8 @@
     pub body_time: Duration,
     /// Time without a byte between two messages.
     pub idle_time: Duration,
+    /// Time for the peer to take a whole response.
+    pub write_time: Duration,
 }
 
 impl Default for Limits {
@@ -25,6 +27,7 @@
             body_bytes: 1024 * 1024,
             body_time: Duration::from_secs(30),
             idle_time: Duration::from_secs(75),
+            write_time: Duration::from_secs(30),
         }
     }
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,11 +1,18 @@
 //! What lives for one connection.
 
 pub mod caller;
+pub mod chunks;
 pub mod client;
+pub mod decode;
+pub mod encode;
+pub mod fault;
+pub mod forward;
+pub mod framing;
 pub mod guard;
 pub mod limits;
 pub mod server;
 pub mod target;
+pub mod tasks;
 
 use crate::prelude::*;
 
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -2,10 +2,11 @@
 
 use std::future::Future;
 
-use monoio::net::TcpListener;
+use monoio::net::{TcpListener, TcpStream};
 
 use super::caller::CallerConnection;
 use super::limits::Limits;
+use super::tasks::Tasks;
 use super::Result;
 use crate::prelude::*;
 
@@ -14,23 +15,33 @@
     TcpListener::bind(address).map_err(|source| Error::Bind { address, source })
 }
 
-/// Serves connections until the task is dropped, one task for each connection.
+/// Serves connections, one task for each; dropping the future stops all of them.
 pub async fn serve<H, F>(listener: TcpListener, handler: H)
 where
     H: Fn(Call) -> F + Clone + 'static,
     F: Future<Output = Answer> + 'static,
 {
+    let tasks = Tasks::default();
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let handler = handler.clone();
-        monoio::spawn(async move {
-            let mut connection = CallerConnection::new(stream, Limits::for_answers());
-            while let Ok(call) = connection.next().await {
-                let answer = handler(call).await;
-                if connection.answer(answer).await.is_err() {
-                    return;
-                }
-            }
-        });
+        tasks.spawn(serve_connection(stream, handler.clone()));
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, handler: H)
+where
+    H: Fn(Call) -> F,
+    F: Future<Output = Answer>,
+{
+    let mut connection = CallerConnection::new(stream, Limits::for_answers());
+    while let Ok(call) = connection.next().await {
+        let answer = monoio::select! {
+            answer = handler(call) => answer,
+            // The client has left, so nobody waits for the handler any more.
+            () = connection.closed() => return,
+        };
+        if connection.answer(answer).await.is_err() {
+            return;
+        }
     }
 }
--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -1,24 +1,25 @@
 //! A connection to a target or to any other HTTP server.
 
-use monoio::io::sink::SinkExt;
-use monoio::io::stream::Stream;
-use monoio::io::{OwnedReadHalf, OwnedWriteHalf, Splitable};
 use monoio::net::TcpStream;
-use monoio_http::common::error::HttpError;
-use monoio_http::h1::codec::decoder::{FillPayload, ResponseDecoder};
-use monoio_http::h1::codec::encoder::GenericEncoder;
-use monoio_http::h1::payload::{FixedPayload, Payload};
 
-use super::caller::read_body;
-use super::guard::{answer_framing, Fault, Framing, Guard};
+use super::decode::decode_answer;
+use super::encode::encode_call;
+use super::fault::{Fault, Lost};
+use super::framing::{answer_framing, AnswerFraming, Framing};
+use super::guard::Guard;
 use super::limits::Limits;
 use super::Result;
 use crate::prelude::*;
 
+/// Most interim responses (1xx) before the final one.
+const MAX_INTERIM: usize = 16;
+/// Status of a response after which the connection no longer carries HTTP.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// The client's side of one connection.
 pub struct TargetConnection {
-    guard: Guard<OwnedReadHalf<TcpStream>>,
-    encoder: GenericEncoder<OwnedWriteHalf<TcpStream>>,
+    address: SocketAddr,
+    guard: Guard,
     limits: Limits,
     reusable: bool,
 }
@@ -34,36 +35,32 @@
                 return Err(Error::Connect { address, source });
             }
         };
-        let _ = stream.set_nodelay(true);
-        let (reader, writer) = stream.into_split();
-        Ok(Self {
-            guard: Guard::new(reader),
-            encoder: GenericEncoder::new(writer),
-            limits,
-            reusable: true,
-        })
+        Ok(Self { address, guard: Guard::new(stream), limits, reusable: true })
     }
 
     /// Sends a call and reads its whole answer.
     ///
-    /// Any fault means that bytes may have left; the connection is then not reusable. It is not
-    /// reusable either while an exchange is under way, so a cancelled exchange leaves it closed.
-    pub async fn exchange(&mut self, call: &Call) -> std::result::Result<Answer, Fault> {
-        self.reusable = false;
-        self.send(call).await?;
-        let (length, framing) = self.final_head(&call.method).await?;
-        let answer = match framing {
-            Framing::UntilClose => self.read_until_close(length).await?,
-            Framing::Empty => self.read_head_only(length)?,
-            Framing::Chunked | Framing::Length(_) => {
-                self.guard.allow(length, framing, &self.limits)?;
-                read_answer(&mut self.guard).await?
-            }
-        };
-        self.reusable = matches!(framing, Framing::Empty | Framing::Length(_))
-            && !self.guard.has_unread()
-            && !says_close(&answer);
-        Ok(answer)
+    /// The connection is not reusable while an exchange is under way, so a cancelled exchange
+    /// leaves it closed; `has_sent` then tells whether the call may have left.
+    pub async fn exchange(&mut self, call: &Call) -> std::result::Result<Answer, Lost> {
+        let was_reusable = std::mem::replace(&mut self.reusable, false);
+        self.guard.reset_sent();
+        if !was_reusable || !self.guard.is_quiet() {
+            // Bytes that precede the request belong to no call, and an end means no response.
+            return Err(Lost { fault: Fault::Closed, sent: false });
+        }
+        let result = self.run(call).await;
+        result.map_err(|fault| Lost { fault, sent: self.guard.has_sent() })
+    }
+
+    /// Whether the kernel may have taken a byte of the last exchange's call.
+    pub fn has_sent(&self) -> bool {
+        self.guard.has_sent()
+    }
+
+    /// Whether the connection is idle and the other side has not closed it.
+    pub fn is_open(&self) -> bool {
+        self.reusable && self.guard.is_quiet()
     }
 
     /// Whether the connection can carry another call.
@@ -71,75 +68,37 @@
         self.reusable
     }
 
-    async fn send(&mut self, call: &Call) -> std::result::Result<(), Fault> {
-        let mut request = http::Request::new(Payload::<Bytes, HttpError>::None);
-        *request.method_mut() = call.method.clone();
-        *request.uri_mut() = call.uri.clone();
-        *request.headers_mut() = call.headers.clone();
-        let headers = request.headers_mut();
-        headers.remove(http::header::TRANSFER_ENCODING);
-        headers.remove(http::header::CONTENT_LENGTH);
-        if !call.body.is_empty() {
-            *request.body_mut() = Payload::Fixed(FixedPayload::new(call.body.clone()));
-        }
-        self.encoder.send_and_flush(request).await.map_err(|_| Fault::Truncated)
+    async fn run(&mut self, call: &Call) -> std::result::Result<Answer, Fault> {
+        let (head, body) = encode_call(call, self.address);
+        self.guard.write(head).await.map_err(|_| Fault::Closed)?;
+        self.guard.write(body).await.map_err(|_| Fault::Closed)?;
+        let (head, framing) = self.final_head(&call.method).await?;
+        let head = decode_answer(head)?;
+        let mut answer = head.answer;
+        answer.body = self.guard.body(framing.framing, &self.limits).await?;
+        self.reusable = framing.framing != Framing::UntilClose
+            && !framing.doubtful
+            && !head.close
+            && self.guard.unread() == 0;
+        Ok(answer)
     }
 
     async fn final_head(
         &mut self,
         method: &Method,
-    ) -> std::result::Result<(usize, Framing), Fault> {
-        loop {
-            let length = self.guard.fill_head(&self.limits).await?;
-            let (status, framing) = answer_framing(self.guard.head(length), method)?;
-            if !matches!(status, 100..=199) {
-                return Ok((length, framing));
+    ) -> std::result::Result<(BytesMut, AnswerFraming), Fault> {
+        for _ in 0..=MAX_INTERIM {
+            if self.guard.unread() == 0 && !matches!(self.guard.fill().await, Ok(1..)) {
+                return Err(Fault::Closed);
+            }
+            let head = self.guard.head(&self.limits).await?;
+            let framing = answer_framing(&head, method)?;
+            match framing.status {
+                SWITCHING_PROTOCOLS => return Err(Fault::Framing),
+                100..=199 => {}
+                _ => return Ok((head, framing)),
             }
-            self.guard.skip(length);
         }
+        Err(Fault::Framing)
     }
-
-    fn read_head_only(&mut self, length: usize) -> std::result::Result<Answer, Fault> {
-        let answer = parse_head(self.guard.head(length))?;
-        self.guard.skip(length);
-        Ok(answer)
-    }
-
-    async fn read_until_close(&mut self, length: usize) -> std::result::Result<Answer, Fault> {
-        let mut answer = self.read_head_only(length)?;
-        answer.body = self.guard.drain(&self.limits).await?;
-        Ok(answer)
-    }
-}
-
-fn says_close(answer: &Answer) -> bool {
-    answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
-}
-
-fn parse_head(head: &[u8]) -> std::result::Result<Answer, Fault> {
-    let mut fields = [httparse::EMPTY_HEADER; 96];
-    let mut response = httparse::Response::new(&mut fields);
-    response.parse(head).map_err(|_| Fault::Framing)?;
-    let status = response.code.and_then(|code| StatusCode::from_u16(code).ok());
-    let mut answer = Answer::new(status.ok_or(Fault::Framing)?, Bytes::new());
-    for field in response.headers.iter() {
-        let name = HeaderName::from_bytes(field.name.as_bytes()).map_err(|_| Fault::Framing)?;
-        let value = HeaderValue::from_bytes(field.value).map_err(|_| Fault::Framing)?;
-        answer.headers.append(name, value);
-    }
-    Ok(answer)
-}
-
-async fn read_answer(
-    guard: &mut Guard<OwnedReadHalf<TcpStream>>,
-) -> std::result::Result<Answer, Fault> {
-    let mut decoder = ResponseDecoder::new(guard);
-    let response = match decoder.next().await {
-        Some(Ok(response)) => response,
-        Some(Err(_)) | None => return Err(Fault::Framing),
-    };
-    decoder.fill_payload().await.map_err(|_| Fault::Truncated)?;
-    let (parts, payload) = response.into_parts();
-    let body = read_body(payload).await?;
-    Ok(Answer { status: parts.status, headers: parts.headers, body })
 }
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -102,6 +102,8 @@
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
                 log: "warn".into(),
+                callers: Default::default(),
+                shutdown: Default::default(),
             };
             let log: Rc<dyn Log> = Rc::new(HttpLog::new(platform, LOG_TIMEOUT));
             let entry = Rc::new(Entry::new(settings));
--- a/src/error.rs
+++ b/src/error.rs
@@ -23,6 +23,8 @@
     PlatformTimeout,
     /// The runtime could not be built.
     Runtime { source: io::Error },
+    /// Signals could not be caught.
+    Signal { source: io::Error },
 }
 
 impl Display for Error {
@@ -38,6 +40,7 @@
             Self::Platform { reason } => write!(f, "unexpected answer of the platform: {reason}"),
             Self::PlatformTimeout => write!(f, "the platform did not answer in time"),
             Self::Runtime { source } => write!(f, "cannot build the runtime: {source}"),
+            Self::Signal { source } => write!(f, "cannot catch signals: {source}"),
         }
     }
 }
@@ -48,7 +51,8 @@
             Self::Bind { source, .. }
             | Self::Connect { source, .. }
             | Self::File { source, .. }
-            | Self::Runtime { source } => Some(source),
+            | Self::Runtime { source }
+            | Self::Signal { source } => Some(source),
             Self::Connection { .. }
             | Self::Document { .. }
             | Self::Platform { .. }
--- a/src/platform/stand_in/target.rs
+++ b/src/platform/stand_in/target.rs
@@ -35,7 +35,7 @@
     service_time: Duration,
     probe_time: Duration,
     running: Cell<usize>,
-    waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
+    waiting: RefCell<VecDeque<(Rc<Cell<bool>>, oneshot::Sender<()>)>>,
     faults: Cell<TargetFaults>,
     runs: RefCell<HashMap<String, u32>>,
     calls: Cell<u64>,
@@ -123,13 +123,14 @@
     async fn take_slot(&self) -> Slot<'_> {
         if self.running.get() < self.slots {
             self.running.set(self.running.get() + 1);
-            return Slot { target: self };
+            return Slot { target: self, held: Rc::new(Cell::new(true)) };
         }
         let (sender, receiver) = oneshot::channel();
-        self.waiting.borrow_mut().push_back(sender);
+        let slot = Slot { target: self, held: Rc::default() };
+        self.waiting.borrow_mut().push_back((slot.held.clone(), sender));
         // The slot passes from the call that ends to this one, so the count stays.
         let _ = receiver.await;
-        Slot { target: self }
+        slot
     }
 
     fn report(&self, mut answer: Answer) -> Answer {
@@ -145,13 +146,19 @@
 
 struct Slot<'a> {
     target: &'a StandInTarget,
+    /// Set when the slot is passed on, also to a call that is cancelled before it notices.
+    held: Rc<Cell<bool>>,
 }
 
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
+        if !self.held.get() {
+            return;
+        }
         let mut waiting = self.target.waiting.borrow_mut();
-        while let Some(sender) = waiting.pop_front() {
+        while let Some((held, sender)) = waiting.pop_front() {
             if sender.send(()).is_ok() {
+                held.set(true);
                 return;
             }
         }
--- /dev/null
+++ b/src/process/caller_settings.rs
@@ -0,0 +1,51 @@
+//! Settings for connections from callers.
+
+use serde::Deserialize;
+
+use crate::connection::limits::Limits;
+use crate::prelude::*;
+
+/// Bounds on callers; what is left out keeps its default.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields, default)]
+pub struct CallerSettings {
+    /// Largest body of a call in bytes.
+    pub body_limit: usize,
+    /// Time for a call's whole body in milliseconds.
+    pub body_ms: u64,
+    /// Time for a call's head in milliseconds.
+    pub head_ms: u64,
+    /// Time without a call after which a connection is closed, in milliseconds.
+    pub idle_ms: u64,
+    /// Most connections from callers.
+    pub max_connections: usize,
+    /// Time for a caller to take an answer in milliseconds.
+    pub write_ms: u64,
+}
+
+impl Default for CallerSettings {
+    fn default() -> Self {
+        let limits = Limits::default();
+        Self {
+            body_limit: limits.body_bytes,
+            body_ms: limits.body_time.as_millis() as u64,
+            head_ms: limits.head_time.as_millis() as u64,
+            idle_ms: limits.idle_time.as_millis() as u64,
+            max_connections: 4000,
+            write_ms: limits.write_time.as_millis() as u64,
+        }
+    }
+}
+
+impl From<&CallerSettings> for Limits {
+    fn from(settings: &CallerSettings) -> Self {
+        Self {
+            body_bytes: settings.body_limit,
+            body_time: Duration::from_millis(settings.body_ms),
+            head_time: Duration::from_millis(settings.head_ms),
+            idle_time: Duration::from_millis(settings.idle_ms),
+            write_time: Duration::from_millis(settings.write_ms),
+            ..Self::default()
+        }
+    }
+}
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,20 +1,19 @@
 //! The entry: its state and its listeners.
 
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpListener;
 
+use super::callers::Callers;
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
 use super::settings::Settings;
+use super::shutdown::{Shutdown, Signals};
 use super::Result;
-use crate::connection::caller::CallerConnection;
-use crate::connection::guard::Fault;
-use crate::connection::limits::Limits;
 use crate::connection::server;
+use crate::connection::tasks::Tasks;
 use crate::platform::http_log::HttpLog;
 use crate::platform::log::Log;
 use crate::prelude::*;
-use crate::request::dispatch;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
@@ -25,6 +24,7 @@
     pub settings: Settings,
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
+    pub shutdown: Shutdown,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -37,6 +37,7 @@
             settings,
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
+            shutdown: Shutdown::default(),
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -55,6 +56,11 @@
         self.revision.replace(revision);
     }
 
+    /// Whether the entry takes new callers.
+    pub fn is_ready(&self) -> bool {
+        self.revision.borrow().is_some() && !self.shutdown.is_requested()
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -62,15 +68,25 @@
     }
 }
 
-/// Serves callers until the process ends.
+/// Serves callers until a signal asks for the end.
 pub async fn serve(settings: Settings) -> Result<()> {
+    let signals = Signals::catch()?;
     let listener = server::bind(settings.listen)?;
     let admin = server::bind(settings.admin)?;
     let log: Rc<dyn Log> = Rc::new(HttpLog::new(settings.platform, APPEND_TIMEOUT));
-    run(Rc::new(Entry::new(settings)), listener, admin, log).await
+    let entry = Rc::new(Entry::new(settings));
+    let state = entry.clone();
+    let waiter = Tasks::default();
+    waiter.spawn(async move {
+        signals.received().await;
+        state.shutdown.request();
+    });
+    let result = run(entry, listener, admin, log).await;
+    waiter.join().await;
+    result
 }
 
-/// Serves on listeners that are bound already.
+/// Serves on listeners that are bound already, until a shutdown is requested and complete.
 pub async fn run(
     entry: Rc<Entry>,
     listener: TcpListener,
@@ -78,49 +94,21 @@
     log: Rc<dyn Log>,
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
-    monoio::spawn(follower::follow(entry.clone(), log));
+    let background = Tasks::default();
+    background.spawn(follower::follow(entry.clone(), log));
     let state = entry.clone();
-    monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        monoio::spawn(serve_caller(entry.clone(), stream));
-    }
-}
-
-async fn serve_caller(entry: Rc<Entry>, stream: TcpStream) {
-    let mut connection = CallerConnection::new(stream, Limits::default());
-    loop {
-        let call = match connection.next().await {
-            Ok(call) => call,
-            Err(fault) => return refuse(connection, fault).await,
-        };
-        let answer = monoio::select! {
-            answer = dispatch::dispatch(&entry, call) => answer,
-            () = connection.closed() => return,
-        };
-        if connection.answer(answer).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn refuse(mut connection: CallerConnection, fault: Fault) {
-    let code = match fault {
-        Fault::Closed => return,
-        Fault::Truncated => Code::MalformedTruncated,
-        Fault::HeadTooLarge => Code::MalformedHead,
-        Fault::TooSlow => Code::MalformedSlow,
-        Fault::Framing => Code::MalformedFraming,
-        Fault::BodyTooLarge => Code::MalformedBody,
-    };
-    connection.close_after_answer();
-    let _ = connection.answer(Answer::own(code)).await;
+    background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
+    Callers::new(entry.clone(), listener).serve().await;
+    background.stop();
+    background.join().await;
+    log::info!(name = entry.settings.name.as_str(); "entry stopped");
+    Ok(())
 }
 
 async fn handle_admin(entry: Rc<Entry>, call: Call) -> Answer {
     match call.uri.path() {
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
-        "/ready" if entry.revision().is_some() => Answer::new(StatusCode::OK, "ready"),
+        "/ready" if entry.is_ready() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
         _ => Answer::new(StatusCode::NOT_FOUND, ""),
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! What lives for the process of an entry.
 
+pub mod caller_settings;
+pub mod callers;
 pub mod entry;
 pub mod fleet;
 pub mod follower;
@@ -8,6 +10,7 @@
 pub mod pool;
 pub mod runtime;
 pub mod settings;
+pub mod shutdown;
 pub mod target;
 
 use eyre::WrapErr;
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -23,8 +23,7 @@
 
     /// Takes an idle connection or opens one.
     pub async fn take(self: &Rc<Self>) -> super::Result<Lease> {
-        let idle = self.idle.borrow_mut().pop();
-        if let Some(connection) = idle {
+        if let Some(connection) = self.take_idle() {
             return Ok(Lease { pool: self.clone(), connection: Some(connection) });
         }
         if self.open.get() >= self.limit {
@@ -38,6 +37,18 @@
         lease.connection = Some(opened);
         Ok(lease)
     }
+
+    /// Takes an idle connection, dropping those that the target has closed.
+    fn take_idle(&self) -> Option<TargetConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_open() {
+                return Some(connection);
+            }
+            self.open.set(self.open.get() - 1);
+        }
+        None
+    }
 }
 
 /// A connection in use; dropping it returns a reusable connection to the pool.
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -2,6 +2,8 @@
 
 use serde::Deserialize;
 
+use super::caller_settings::CallerSettings;
+use super::shutdown::ShutdownSettings;
 use super::Result;
 use crate::prelude::*;
 
@@ -22,6 +24,12 @@
     /// Log filter.
     #[serde(default = "default_log")]
     pub log: String,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub callers: CallerSettings,
+    /// Times of a shutdown.
+    #[serde(default)]
+    pub shutdown: ShutdownSettings,
 }
 
 fn default_log() -> String {
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -1,7 +1,8 @@
 //! Sends a call to a target and decides what the caller is told.
 
 use super::header;
-use crate::connection::guard::Fault;
+use crate::connection::fault::{Fault, Lost};
+use crate::connection::forward::clean_answer;
 use crate::prelude::*;
 use crate::process::entry::Entry;
 use crate::process::target::{LoadReport, TargetKey};
@@ -117,15 +118,20 @@
     let left = matched.deadline.left(Instant::now());
     let exchange = lease.connection().exchange(call);
     match monoio::time::timeout(left, exchange).await {
+        Err(_) if !lease.connection().has_sent() => Attempt::NotRun(Code::NotRunDeadline),
         Err(_) => Attempt::Unknown(Code::UnknownDeadline),
-        Ok(Err(Fault::Closed)) => Attempt::Unknown(Code::UnknownConnection),
+        Ok(Err(Lost { sent: false, .. })) => Attempt::NotRun(Code::NotRunConnect),
+        Ok(Err(Lost { fault: Fault::Closed, .. })) => Attempt::Unknown(Code::UnknownConnection),
         Ok(Err(_)) => Attempt::Unknown(Code::UnknownAnswer),
-        Ok(Ok(answer)) => {
+        Ok(Ok(mut answer)) => {
             slot.report = answer.header(header::LOAD).and_then(LoadReport::parse);
             slot.draining = answer.header(header::DRAINING) == Some("1");
-            if answer.header(header::REFUSED).is_some() {
+            let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE
+                && answer.headers.contains_key(header::REFUSED);
+            if is_refused {
                 return Attempt::NotRun(Code::NotRunRefused);
             }
+            clean_answer(&mut answer.headers);
             Attempt::Answered(answer)
         }
     }
