--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -5,6 +5,7 @@
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
+use super::recorder::Recorder;
 use super::settings::Settings;
 use super::Result;
 use crate::connection::caller::CallerConnection;
@@ -25,6 +26,7 @@
     pub settings: Settings,
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
+    pub recorder: Recorder,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -37,6 +39,7 @@
             settings,
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
+            recorder: Recorder::default(),
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -123,10 +126,21 @@
         "/ready" if entry.revision().is_some() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
+        "/trace" if call.method == Method::POST => start_recording(&entry, &call),
+        "/trace" => Answer::new(StatusCode::OK, entry.recorder.trace()),
         _ => Answer::new(StatusCode::NOT_FOUND, ""),
     }
 }
 
+fn start_recording(entry: &Entry, call: &Call) -> Answer {
+    let seconds = call.uri.query().and_then(|query| query.strip_prefix("seconds="));
+    let Some(seconds) = seconds.and_then(|text| text.parse().ok()) else {
+        return Answer::new(StatusCode::BAD_REQUEST, "expected `/trace?seconds=NUMBER`");
+    };
+    entry.recorder.start(Instant::now(), Duration::from_secs(seconds));
+    Answer::new(StatusCode::OK, "recording")
+}
+
 fn status(entry: &Entry) -> String {
     let revision = entry.revision().map(|revision| revision.number);
     let settings = &entry.settings;
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -4,6 +4,7 @@
 use crate::connection::guard::Fault;
 use crate::prelude::*;
 use crate::process::entry::Entry;
+use crate::process::recorder::Recorded;
 use crate::process::target::{LoadReport, TargetKey};
 use crate::version::class::Class;
 use crate::version::keys::{ClassKey, ServiceKey, WorkspaceKey};
@@ -44,7 +45,11 @@
         Ok(matched) => matched,
         Err(code) => return Answer::own(code),
     };
+    let recorded = entry.recorder.is_active(start).then(|| call.clone());
     let answer = run(entry, &matched, call).await;
+    if let Some(call) = recorded {
+        record(entry, &matched, &call, start);
+    }
     let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
     let code = code.and_then(Code::from_number).unwrap_or(Code::Answered);
     let workspace = &matched.revision.document[matched.workspace].name;
@@ -52,6 +57,19 @@
     answer
 }
 
+fn record(entry: &Entry, matched: &Matched, call: &Call, arrived: Instant) {
+    let document = &matched.revision.document;
+    let recorded = Recorded {
+        call,
+        workspace: &document[matched.workspace].name,
+        service: &document[matched.service].name,
+        class: &matched.class().name,
+        key: call.header(header::IDEMPOTENCY_KEY),
+        arrived,
+    };
+    entry.recorder.add(&recorded, Instant::now());
+}
+
 fn find(entry: &Entry, call: &Call, now: Instant) -> Result<Matched, Code> {
     let revision = entry.revision().ok_or(Code::NotReady)?;
     let document = &revision.document;
@@ -83,6 +101,7 @@
         let code = match attempt(entry, matched, &call, &mut tried).await {
             Attempt::Answered(mut answer) => {
                 answer.set(header::CODE, &Code::Answered.number().to_string());
+                answer.set(header::ATTEMPT, &number.to_string());
                 return answer;
             }
             Attempt::Unknown(code) if !matched.class().idempotent => return Answer::own(code),
