--- a/src/connection/forward.rs
+++ b/src/connection/forward.rs
@@ -47,11 +47,11 @@
     Ok(())
 }
 
-/// Removes what a target must not send on to a caller.
+/// Removes what a target must not send on to a caller; a load report stays, it promises nothing.
 pub fn clean_answer(headers: &mut HeaderMap) {
     remove_hop_by_hop(headers);
-    let own: Vec<HeaderName> = headers.keys().filter(|name| is_own(name)).cloned().collect();
-    for name in own {
+    let own = headers.keys().filter(|name| is_own(name) && **name != header::LOAD);
+    for name in own.cloned().collect::<Vec<_>>() {
         headers.remove(name);
     }
 }
--- a/src/platform/stand_in/target.rs
+++ b/src/platform/stand_in/target.rs
@@ -35,7 +35,7 @@
     service_time: Duration,
     probe_time: Duration,
     running: Cell<usize>,
-    waiting: RefCell<VecDeque<(Rc<Cell<bool>>, oneshot::Sender<()>)>>,
+    waiting: RefCell<VecDeque<Waiting>>,
     faults: Cell<TargetFaults>,
     runs: RefCell<HashMap<String, u32>>,
     calls: Cell<u64>,
@@ -127,7 +127,7 @@
         }
         let (sender, receiver) = oneshot::channel();
         let slot = Slot { target: self, held: Rc::default() };
-        self.waiting.borrow_mut().push_back((slot.held.clone(), sender));
+        self.waiting.borrow_mut().push_back(Waiting { held: slot.held.clone(), sender });
         // The slot passes from the call that ends to this one, so the count stays.
         let _ = receiver.await;
         slot
@@ -144,6 +144,12 @@
     }
 }
 
+/// A call that waits for a slot.
+struct Waiting {
+    held: Rc<Cell<bool>>,
+    sender: oneshot::Sender<()>,
+}
+
 struct Slot<'a> {
     target: &'a StandInTarget,
     /// Set when the slot is passed on, also to a call that is cancelled before it notices.
@@ -156,7 +162,7 @@
             return;
         }
         let mut waiting = self.target.waiting.borrow_mut();
-        while let Some((held, sender)) = waiting.pop_front() {
+        while let Some(Waiting { held, sender }) = waiting.pop_front() {
             if sender.send(()).is_ok() {
                 held.set(true);
                 return;
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -5,6 +5,7 @@
 use crate::connection::forward::clean_answer;
 use crate::prelude::*;
 use crate::process::entry::Entry;
+use crate::process::recorder::Recorded;
 use crate::process::target::{LoadReport, TargetKey};
 use crate::version::class::Class;
 use crate::version::keys::{ClassKey, ServiceKey, WorkspaceKey};
@@ -45,7 +46,11 @@
         Ok(matched) => matched,
         Err(code) => return Answer::own(code),
     };
+    let recorded = entry.recorder.is_active(start).then(|| call.clone());
     let answer = run(entry, &matched, call).await;
+    if let Some(call) = recorded {
+        record(entry, &matched, &call, start);
+    }
     let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
     let code = code.and_then(Code::from_number).unwrap_or(Code::Answered);
     let workspace = &matched.revision.document[matched.workspace].name;
@@ -53,6 +58,19 @@
     answer
 }
 
+fn record(entry: &Entry, matched: &Matched, call: &Call, arrived: Instant) {
+    let document = &matched.revision.document;
+    let recorded = Recorded {
+        call,
+        workspace: &document[matched.workspace].name,
+        service: &document[matched.service].name,
+        class: &matched.class().name,
+        key: call.header(header::IDEMPOTENCY_KEY),
+        arrived,
+    };
+    entry.recorder.add(&recorded, Instant::now());
+}
+
 fn find(entry: &Entry, call: &Call, now: Instant) -> Result<Matched, Code> {
     let revision = entry.revision().ok_or(Code::NotReady)?;
     let document = &revision.document;
@@ -74,9 +92,11 @@
     call.set(header::CLASS, &matched.class().name);
     let mut tried = Vec::new();
     let mut number = 1;
+    // Once an attempt may have run, no later attempt can make the call "not run".
+    let mut unknown = None;
     loop {
         if matched.deadline.has_passed(Instant::now()) {
-            return Answer::own(Code::NotRunDeadline);
+            return Answer::own(unknown.unwrap_or(Code::NotRunDeadline));
         }
         call.set(header::ATTEMPT, &number.to_string());
         let left = matched.deadline.left(Instant::now()).as_millis();
@@ -84,13 +104,15 @@
         let code = match attempt(entry, matched, &call, &mut tried).await {
             Attempt::Answered(mut answer) => {
                 answer.set(header::CODE, &Code::Answered.number().to_string());
+                answer.set(header::ATTEMPT, &number.to_string());
                 return answer;
             }
             Attempt::Unknown(code) if !matched.class().idempotent => return Answer::own(code),
-            Attempt::NotRun(code) | Attempt::Unknown(code) => code,
+            Attempt::Unknown(code) => *unknown.insert(code),
+            Attempt::NotRun(code) => code,
         };
         if number == MAX_ATTEMPTS || code == Code::NotRunNoTarget {
-            return Answer::own(code);
+            return Answer::own(unknown.unwrap_or(code));
         }
         entry.metrics.count("cornellink_retries_total");
         number += 1;
