--- a/src/connection/forward.rs
+++ b/src/connection/forward.rs
@@ -11,6 +11,9 @@
 
 /// Prefix of the balancer's own headers.
 const OWN_PREFIX: &str = "cornellink-";
+/// Most header fields of a call. The codec and some targets take at most 96, and the balancer adds
+/// up to 8 of its own.
+const MAX_FIELDS: usize = 96 - 8;
 /// Headers with a meaning for one connection only.
 const HOP_BY_HOP: [HeaderName; 10] = [
     CONNECTION,
@@ -44,6 +47,9 @@
             return Err(Fault::Framing);
         }
     }
+    if headers.len() > MAX_FIELDS {
+        return Err(Fault::Framing);
+    }
     Ok(())
 }
 
