--- /dev/null
+++ b/tests/not_run.rs
@@ -0,0 +1,174 @@
+//! "Not run" and "outcome unknown": what a caller is told against what a target received.
+
+mod fixture;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use cornellink::connection::fault::{Fault, Lost};
+use cornellink::connection::limits::Limits;
+use cornellink::connection::target::TargetConnection;
+use cornellink::prelude::*;
+use cornellink::process::runtime::block_on;
+use fixture::raw::{field, RawClient, RawServer, Then};
+use fixture::served::Published;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+/// Calls of a test in which the choice of the target is random.
+const CALLS: usize = 12;
+
+fn send(entry: SocketAddr, method: &str, fields: &str) -> u16 {
+    let mut client = RawClient::connect(entry);
+    let head = "HTTP/1.1\r\nhost: x\r\ncornellink-workspace: north\r\nconnection: close\r\n";
+    client.send(format!("{method} /tickets/1 {head}{fields}\r\n").as_bytes());
+    let (head, _) = client.answer(false).expect("every call is answered");
+    field(&head, "cornellink-code").unwrap().parse().unwrap()
+}
+
+/// Sends one booking through an entry to a target that replies with `reply`.
+fn booking(name: &str, reply: &str, then: Then, fields: &str) -> (u16, usize) {
+    let target = RawServer::start(reply, then);
+    let published = Published::new(&[target.address]);
+    let entry = published.entry(name, serde_json::json!({}));
+    let code = send(entry.listen, "POST", fields);
+    (code, target.requests().len())
+}
+
+/// Guards against "not run" for a call that the target has received.
+#[test]
+fn booking_that_was_received_is_unknown() {
+    let refused = "HTTP/1.1 503 Service Unavailable\r\ncornellink-refused: overloaded\r\n";
+    let cases = [
+        ("closed", "", Then::Close, "", 301),
+        ("held", "", Then::Hold, "cornellink-deadline-ms: 100\r\n", 302),
+        ("truncated", "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n", Then::Close, "", 303),
+        ("cut-refusal", &format!("{refused}content-length: 9\r\n\r\nx"), Then::Close, "", 303),
+        ("cut-head", refused, Then::Close, "", 303),
+        ("malformed", "HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\n", Then::Hold, "", 303),
+    ];
+    for (name, reply, then, fields, want) in cases {
+        assert_eq!(booking(name, reply, then, fields), (want, 1), "{name}");
+    }
+}
+
+/// Guards against a status or a header that is taken for a refusal outside the contract.
+#[test]
+fn only_a_503_with_the_header_is_a_refusal() {
+    let cases = [
+        ("refused", "503 Service Unavailable\r\ncornellink-refused: overloaded", 204),
+        ("ok", "200 OK\r\ncornellink-refused: overloaded", 100),
+        ("error", "500 Internal Server Error\r\ncornellink-refused: overloaded", 100),
+        ("unavailable", "503 Service Unavailable", 100),
+    ];
+    for (name, head, want) in cases {
+        let reply = format!("HTTP/1.1 {head}\r\ncontent-length: 0\r\n\r\n");
+        let (code, _) = booking(name, &reply, Then::Hold, "");
+        assert_eq!(code, want, "{name}");
+    }
+}
+
+/// Guards against an idempotent call that is reported as not run after an attempt that may have
+/// run, because its last attempt could not connect.
+#[test]
+fn unknown_attempt_stays_unknown() {
+    let lossy = RawServer::start("", Then::Close);
+    let published = Published::new(&[lossy.address, fixture::free_address()]);
+    let entry = published.entry("mixed", serde_json::json!({}));
+    for _ in 0..CALLS {
+        let before = lossy.requests().len();
+        let code = Code::from_number(send(entry.listen, "GET", "")).unwrap();
+        let received = lossy.requests().len() > before;
+        assert_eq!(code.is_unknown(), received, "{code:?}");
+    }
+}
+
+/// Guards against a booking that is lost to an idle connection which the target has closed.
+#[test]
+fn closed_idle_connection_is_not_used() {
+    let target = RawServer::start("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n", Then::Close);
+    let published = Published::new(&[target.address]);
+    let entry = published.entry("idle", serde_json::json!({}));
+    for count in 1..=CALLS {
+        assert_eq!(send(entry.listen, "POST", ""), 100);
+        assert_eq!(target.requests().len(), count);
+        // The target has closed its side once its thread has ended.
+        while target.closed() < count {
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> TargetConnection {
+    TargetConnection::connect(address, TIMEOUT, Limits::for_answers()).await.unwrap()
+}
+
+async fn first_byte(peer: &std::net::TcpStream) {
+    peer.set_nonblocking(true).unwrap();
+    while peer.peek(&mut [0]).is_err() {
+        monoio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
+async fn close_after_first_byte(peer: std::net::TcpStream) {
+    first_byte(&peer).await;
+    drop(peer);
+    std::future::pending().await
+}
+
+/// Guards against a connection that claims to have sent nothing on an idle connection that is
+/// closed, and against one that claims so after a part of the body.
+#[test]
+fn target_connection_reports_what_left() {
+    let listener = std::net::TcpListener::bind(("127.0.0.1", 0)).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closed, cut, cancelled) = block_on(async move {
+        let mut first = connect(address).await;
+        drop(listener.accept().unwrap());
+        let mut call = Call::new(Method::POST, Uri::from_static("/a"));
+        let closed = first.exchange(&call).await.unwrap_err();
+
+        let mut second = connect(address).await;
+        let peer = listener.accept().unwrap().0;
+        // More than the buffers of both sides take, so that the peer closes within the body.
+        call.body = vec![b'x'; 64 << 20].into();
+        let cut = monoio::select! {
+            result = second.exchange(&call) => result.unwrap_err(),
+            () = close_after_first_byte(peer) => unreachable!("the exchange ends first"),
+        };
+
+        let mut third = connect(address).await;
+        let peer = listener.accept().unwrap().0;
+        monoio::select! {
+            _ = third.exchange(&call) => unreachable!("nobody reads the call"),
+            () = first_byte(&peer) => {}
+        }
+        (closed, cut, (third.has_sent(), third.is_reusable()))
+    })
+    .unwrap();
+
+    assert_eq!(closed, Lost { fault: Fault::Closed, sent: false });
+    assert_eq!(cut, Lost { fault: Fault::Closed, sent: true });
+    assert_eq!(cancelled, (true, false));
+}
+
+/// Guards against an exchange on a connection whose last one was cancelled.
+#[test]
+fn cancelled_connection_carries_no_other_call() {
+    let server = RawServer::start("", Then::Hold);
+    let second = block_on(async {
+        let mut connection = connect(server.address).await;
+        let call = Call::new(Method::GET, Uri::from_static("/a"));
+        let received = async {
+            while server.requests().is_empty() {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        monoio::select! {
+            _ = connection.exchange(&call) => unreachable!("the server does not answer"),
+            () = received => {}
+        }
+        connection.exchange(&call).await
+    });
+    assert_eq!(second.unwrap().unwrap_err(), Lost { fault: Fault::Closed, sent: false });
+    assert_eq!(server.requests().len(), 1);
+}
--- /dev/null
+++ b/tests/shutdown.rs
@@ -0,0 +1,119 @@
+//! The end of an entry process, and what the process holds while it runs.
+
+mod fixture;
+
+use std::fs;
+use std::time::Duration;
+
+use cornellink::connection::client::Client;
+use cornellink::platform::stand_in::hosted::{host_targets, TargetHost};
+use cornellink::prelude::*;
+use cornellink::process::runtime::block_on;
+use cornellink::request::header;
+use fixture::entry_process::EntryProcess;
+use fixture::raw::{field, RawClient};
+use fixture::served::Published;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+fn call(micros: u64) -> Vec<u8> {
+    let fields = format!("cornellink-workspace: north\r\nstand-in-service-us: {micros}\r\n");
+    format!("POST /tickets/1 HTTP/1.1\r\n{fields}\r\n").into_bytes()
+}
+
+fn wait_for(condition: impl Fn() -> bool) {
+    while !condition() {
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+fn calls(targets: &TargetHost) -> u64 {
+    targets.with(|targets| targets[0].calls())
+}
+
+fn ready_code(entry: &EntryProcess) -> Option<u16> {
+    let admin = entry.admin;
+    let ready = Call::new(Method::GET, Uri::from_static("/ready"));
+    let answer = block_on(async move { Client::new(admin, TIMEOUT).call(&ready).await });
+    answer.unwrap().ok()?.header(header::CODE)?.parse().ok()
+}
+
+/// Guards against a shutdown that cuts a call in flight, drops callers before the platform has
+/// seen "not ready", or leaves idle connections open.
+#[test]
+fn shutdown_answers_calls_in_flight() {
+    let (targets, addresses) = host_targets(1, 8, Duration::ZERO).unwrap();
+    let published = Published::new(&addresses);
+    let settings = serde_json::json!({ "shutdown": { "delayMs": 1000 } });
+    let mut entry = published.entry("graceful", settings);
+    let (mut idle, mut busy) = (RawClient::connect(entry.listen), RawClient::connect(entry.listen));
+    idle.send(&call(0));
+    let first = idle.answer(false).expect("the call is answered").0;
+    busy.send(&call(1_500_000));
+    wait_for(|| calls(&targets) == 2);
+
+    entry.terminate();
+    wait_for(|| ready_code(&entry) == Some(600));
+    let mut late = RawClient::connect(entry.listen);
+    late.send(&call(0));
+
+    let late = late.answer(false).expect("a caller of the delay is answered").0;
+    assert_eq!(field(&first, "connection"), None);
+    assert_eq!(field(&late, "cornellink-code"), Some("100"));
+    assert_eq!(field(&late, "connection"), Some("close"));
+    assert!(idle.answer(false).is_none(), "the idle connection is closed");
+    let busy_answer = busy.answer(false).expect("the call in flight is answered").0;
+    assert_eq!(field(&busy_answer, "cornellink-code"), Some("100"));
+    assert_eq!(field(&busy_answer, "connection"), Some("close"));
+    drop((idle, busy));
+    assert!(entry.wait(), "the process ends without an error");
+    assert!(!entry.log().contains("cut"), "{}", entry.log());
+}
+
+/// Guards against a shutdown that waits without an end, or that cuts calls silently.
+#[test]
+fn shutdown_has_a_limit_and_logs_what_it_cut() {
+    let (targets, addresses) = host_targets(1, 8, Duration::ZERO).unwrap();
+    let published = Published::new(&addresses);
+    let settings = serde_json::json!({ "shutdown": { "delayMs": 0, "limitMs": 200 } });
+    let mut entry = published.entry("limit", settings);
+    let mut clients = [RawClient::connect(entry.listen), RawClient::connect(entry.listen)];
+    clients.iter_mut().for_each(|client| assert!(client.send(&call(600_000_000))));
+    wait_for(|| calls(&targets) == 2);
+
+    entry.terminate();
+
+    assert!(clients.iter_mut().all(|client| client.answer(false).is_none()));
+    assert!(entry.wait(), "the process ends without an error");
+    assert!(entry.log().contains(r#""cut":2"#), "{}", entry.log());
+}
+
+/// Guards against a runtime that selects io_uring, and against further processes and threads.
+#[test]
+fn entry_uses_epoll_and_one_process() {
+    let (_targets, addresses) = host_targets(1, 8, Duration::ZERO).unwrap();
+    let published = Published::new(&addresses);
+    let entry = published.entry("descriptors", serde_json::json!({}));
+    let mut client = RawClient::connect(entry.listen);
+    client.send(&call(0));
+    client.answer(false).expect("the call is answered");
+
+    let path = format!("/proc/{}", entry.id());
+    let links = fs::read_dir(format!("{path}/fd")).unwrap().flatten();
+    let links: Vec<_> = links.filter_map(|file| fs::read_link(file.path()).ok()).collect();
+    let has = |word: &str| links.iter().any(|link| link.to_string_lossy().contains(word));
+
+    assert!(has("eventpoll") && has("socket"), "{links:?}");
+    assert!(!has("io_uring"), "{links:?}");
+    assert_eq!(fs::read_dir(format!("{path}/task")).unwrap().count(), 1, "threads");
+    assert_eq!(children(entry.id()), 0, "processes");
+}
+
+fn children(parent: u32) -> usize {
+    let stats = fs::read_dir("/proc").unwrap().flatten();
+    let stats = stats.filter_map(|file| fs::read_to_string(file.path().join("stat")).ok());
+    // The parent is the second field after the name, which is in parentheses.
+    let parents = stats
+        .filter_map(|stat| stat.rsplit(')').next()?.split_whitespace().nth(1)?.parse::<u32>().ok());
+    parents.filter(|found| *found == parent).count()
+}
