Check documents and settings against a schema with positions

A bad document got the first error of the deserializer, with no place. The text now passes limits on bytes and depth, then a schema of the format over the syntax tree of jsonc-parser, then checks among its fields; all problems come back together with line, column, path and what was expected. Defaults stand in the schema alone. Prefixes match segment by segment, so that `/s1` no longer matches `/s10`, and services must not overlap.

--- a/src/error.rs
+++ b/src/error.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::version::check::problem::Problem;
+
 /// Everything that can go wrong outside the answer to a call.
 #[derive(Debug)]
 pub enum Error {
@@ -13,10 +15,12 @@
     Connect { address: SocketAddr, source: io::Error },
     /// A connection failed after it was opened.
     Connection { reason: String },
-    /// A document or a settings file failed its checks.
+    /// An outcome file, a trace or a report failed its checks.
     Document { problems: Vec<String> },
     /// A file could not be read or written.
     File { path: String, source: io::Error },
+    /// A text failed the checks of its schema.
+    Invalid { problems: Vec<Problem> },
     /// The platform gave an answer that does not follow its protocol.
     Platform { reason: String },
     /// The platform did not answer in time.
@@ -35,6 +39,10 @@
             Self::Connection { reason } => write!(f, "connection failed: {reason}"),
             Self::Document { problems } => write!(f, "{}", problems.join("\n")),
             Self::File { path, source } => write!(f, "cannot access `{path}`: {source}"),
+            Self::Invalid { problems } => {
+                let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
+                f.write_str(&lines.join("\n"))
+            }
             Self::Platform { reason } => write!(f, "unexpected answer of the platform: {reason}"),
             Self::PlatformTimeout => write!(f, "the platform did not answer in time"),
             Self::Runtime { source } => write!(f, "cannot build the runtime: {source}"),
@@ -51,6 +59,7 @@
             | Self::Runtime { source } => Some(source),
             Self::Connection { .. }
             | Self::Document { .. }
+            | Self::Invalid { .. }
             | Self::Platform { .. }
             | Self::PlatformTimeout => None,
         }
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -4,10 +4,17 @@
 
 use super::Result;
 use crate::prelude::*;
+use crate::version::check;
+use crate::version::check::part::Part;
+use crate::version::check::problem::Report;
+use crate::version::check::schema::{Field, Kind, Schema};
 
-/// What an entry learns from its settings file.
+/// Longest retention of the log that can be stated, 90 days in milliseconds.
+const MAX_RETENTION_MS: u64 = 90 * 24 * 3600 * 1000;
+
+/// What an entry learns from its settings file; each field has a row in `SCHEMA`.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase", deny_unknown_fields)]
+#[serde(rename_all = "camelCase")]
 pub struct Settings {
     /// Name of the entry, unique in its environment.
     pub name: String,
@@ -19,29 +26,52 @@
     pub domain: String,
     /// Address of the platform's log and list of VMs.
     pub platform: SocketAddr,
+    /// How long the platform's log keeps a record, in milliseconds.
+    pub retention_ms: u64,
     /// Log filter.
-    #[serde(default = "default_log")]
     pub log: String,
 }
 
-fn default_log() -> String {
-    "info".into()
-}
+/// The fields of a settings file, with their defaults.
+pub const SCHEMA: Schema = Schema {
+    fields: &[
+        Field::required("name", Kind::Name),
+        Field::required("listen", Kind::Listen),
+        Field::required("admin", Kind::Listen),
+        Field::required("domain", Kind::Name),
+        Field::required("platform", Kind::Address),
+        // One day; a value above the log's own lets the document expire.
+        Field::default(
+            "retentionMs",
+            Kind::Integer { min: 500, max: MAX_RETENTION_MS },
+            "86400000",
+        ),
+        Field::default("log", Kind::Text { max: 256 }, "\"info\""),
+    ],
+};
 
 impl Settings {
-    /// Reads the settings from JSON with comments.
+    /// Reads the settings from a file of JSON with comments.
     pub fn load(path: &str) -> Result<Self> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| Error::File { path: path.into(), source })?;
         Self::parse(&text)
     }
 
-    /// Parses settings.
+    /// Parses and checks settings.
     pub fn parse(text: &str) -> Result<Self> {
-        let problem = |text: String| Error::Document { problems: vec![text] };
-        let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
-            .map_err(|error| problem(error.to_string()))?
-            .ok_or_else(|| problem("the settings are empty".into()))?;
-        serde_json::from_value(value).map_err(|error| problem(error.to_string()))
+        check::read(text, &SCHEMA, check_addresses)
+    }
+
+    /// How long the platform's log keeps a record.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+}
+
+fn check_addresses(root: &Part, report: &mut Report) {
+    let listen = root.text("listen");
+    if listen.is_some_and(|listen| !listen.ends_with(":0")) && listen == root.text("admin") {
+        report.add("admin", "expected another address than `listen`".into());
     }
 }
--- a/src/version/class.rs
+++ b/src/version/class.rs
@@ -21,7 +21,7 @@
     pub name: String,
     /// Methods of the class.
     pub methods: Vec<Method>,
-    /// Path prefix, matched after the service's own.
+    /// Prefix of the whole path, matched segment by segment.
     pub prefix: String,
     pub deadline: Duration,
     pub idempotent: bool,
--- a/src/version/document.rs
+++ b/src/version/document.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Index;
 
+use super::check::paths::covers;
 use super::class::Class;
 use super::keys::{ClassKey, ServiceKey, WorkspaceKey};
 use super::service::Service;
@@ -20,12 +21,10 @@
 }
 
 impl Document {
-    /// The service with the longest prefix that matches.
+    /// The service whose prefix covers the path; the checks allow no overlap.
     pub fn service(&self, path: &str) -> Option<ServiceKey> {
-        let matching = self.services.iter().enumerate();
-        let matching = matching.filter(|(_, service)| path.starts_with(&service.prefix));
-        let longest = matching.max_by_key(|(_, service)| service.prefix.len());
-        longest.map(|(index, _)| ServiceKey(index as u16))
+        let place = self.services.iter().position(|service| covers(&service.prefix, path));
+        place.map(|index| ServiceKey(index as u16))
     }
 
     /// The workspace of that name.
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,14 +1,18 @@
 //! What lives for one version of the document.
 
+pub mod check;
 pub mod class;
 pub mod document;
 pub mod history;
 pub mod keys;
+pub mod overlay;
 pub mod parse;
 pub mod policy;
 pub mod record;
 pub mod revision;
+pub mod schema;
 pub mod service;
+pub mod wire;
 pub mod workspace;
 
 use crate::prelude::*;
--- a/src/version/service.rs
+++ b/src/version/service.rs
@@ -2,6 +2,7 @@
 
 use http::Method;
 
+use super::check::paths::covers;
 use super::class::Class;
 use super::keys::ClassKey;
 use super::policy::Policy;
@@ -39,8 +40,7 @@
 impl Service {
     /// The first class that matches.
     pub fn class(&self, method: &Method, path: &str) -> Option<ClassKey> {
-        let matches =
-            |class: &Class| class.methods.contains(method) && path.starts_with(&class.prefix);
+        let matches = |class: &Class| class.methods.contains(method) && covers(&class.prefix, path);
         self.classes.iter().position(matches).map(|index| ClassKey(index as u16))
     }
 }
