Follow the stream by the retention rule and renew the revision in force

A reader that started in the middle of the log took the first publication for revision 1, and nothing kept the document from expiring. A reader with a gap now keeps its document and decides nothing until a renewal whose later records it has all seen, or a peer's offer. Records of an unknown format stop the decisions of a program that does not know it. The stand-in log uses Unix time and ends a page by bytes, so that large documents stay within a client's limit.

--- a/src/platform/stand_in/log.rs
+++ b/src/platform/stand_in/log.rs
@@ -1,6 +1,7 @@
 //! A log in memory.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use crate::platform::log::{Log, Page, Record};
 use crate::platform::Pending;
@@ -10,6 +11,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Most records in one page.
 const PAGE_RECORDS: usize = 1000;
+/// Bytes of values after which a page ends; in base64 it stays within a client's limit of 8 MiB.
+const PAGE_BYTES: usize = 2 * 1024 * 1024;
 
 /// Faults that a test switches on and off.
 #[derive(Clone, Copy, Debug, Default)]
@@ -34,6 +37,8 @@
     retention: Duration,
     faults: Cell<LogFaults>,
     started: Instant,
+    /// Unix time at `started`.
+    epoch: Duration,
     appends: Cell<u64>,
 }
 
@@ -45,6 +50,7 @@
             retention,
             faults: Cell::default(),
             started: Instant::now(),
+            epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
             appends: Cell::new(0),
         }
     }
@@ -72,7 +78,7 @@
     }
 
     fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        (self.epoch + self.started.elapsed()).as_millis() as u64
     }
 
     async fn pass_faults(&self) -> super::super::Result<()> {
@@ -90,10 +96,17 @@
         let mut streams = self.streams.borrow_mut();
         let stream = streams.entry(name.into()).or_default();
         let skip = from.saturating_sub(stream.first) as usize;
+        let mut bytes = 0;
+        let fits = |record: &&Record| {
+            let is_open = bytes < PAGE_BYTES;
+            bytes += record.value.len();
+            is_open
+        };
+        let records = stream.records.iter().skip(skip).take(PAGE_RECORDS).take_while(fits);
         Page {
             first: stream.first,
             next: stream.first + stream.records.len() as u64,
-            records: stream.records.iter().skip(skip).take(PAGE_RECORDS).cloned().collect(),
+            records: records.cloned().collect(),
         }
     }
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -2,6 +2,7 @@
 
 use monoio::net::{TcpListener, TcpStream};
 
+use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
@@ -16,6 +17,7 @@
 use crate::platform::log::Log;
 use crate::prelude::*;
 use crate::request::dispatch;
+use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
@@ -24,6 +26,7 @@
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
+    pub configuration: Configuration,
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
     pub recorder: Recorder,
@@ -37,6 +40,7 @@
         let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
         Self {
             settings,
+            configuration: Configuration::default(),
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
             recorder: Recorder::default(),
@@ -125,6 +129,10 @@
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
         "/ready" if entry.revision().is_some() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
+        "/revision" => match entry.configuration.base() {
+            Some(base) => Answer::new(StatusCode::OK, ConfigRecord::Renew(base).encode()),
+            None => Answer::own(Code::NotReady),
+        },
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
         "/trace" if call.method == Method::POST => start_recording(&entry, &call),
         "/trace" => Answer::new(StatusCode::OK, entry.recorder.trace()),
@@ -148,6 +156,8 @@
         "name": settings.name,
         "domain": settings.domain,
         "revision": revision,
+        "ready": revision.is_some(),
+        "configuration": entry.configuration.status(),
     });
     status.to_string()
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the process of an entry.
 
+pub mod configuration;
 pub mod entry;
 pub mod fleet;
 pub mod follower;
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -10,8 +10,10 @@
 pub mod policy;
 pub mod record;
 pub mod revision;
+pub mod run;
 pub mod schema;
 pub mod service;
+pub mod verdict;
 pub mod wire;
 pub mod workspace;
 
--- a/src/version/record.rs
+++ b/src/version/record.rs
@@ -6,7 +6,7 @@
 /// Name of the stream.
 pub const STREAM: &str = "config";
 
-/// A record of the stream `config`.
+/// A record of the stream `config`; the log keeps the time of each one.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "camelCase", tag = "kind")]
 pub enum ConfigRecord {
@@ -28,9 +28,11 @@
     pub text: String,
 }
 
+/// The revision in force after an offset; also what peers pass to each other.
 #[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct RenewRecord {
+    pub format: u32,
     pub number: u64,
     pub nonce: u64,
     pub author: String,
