--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,17 +1,52 @@
 //! The operators' command line.
 
-use clap::{Arg, ArgMatches, Command};
+pub mod check;
+pub mod codes;
+pub mod diff;
+pub mod entries;
+pub mod exit;
+pub mod explain;
+pub mod history;
+pub mod options;
+pub mod promote;
+pub mod publication;
+pub mod publish;
+pub mod status;
+pub mod table;
+pub mod timeline;
 
-use crate::code::Code;
-use crate::version::parse::parse;
+use std::process::ExitCode;
+
+use clap::Command;
+
+use crate::prelude::*;
+use exit::Exit;
+
+/// The result of a command.
+pub type Result<T> = std::result::Result<T, Error>;
 
 /// Runs the command named on the command line.
-pub fn run() -> eyre::Result<()> {
-    match command().get_matches().subcommand() {
-        Some(("check", matches)) => check(matches),
-        Some(("explain", matches)) => explain(matches),
-        _ => Ok(()),
-    }
+pub fn run() -> eyre::Result<ExitCode> {
+    let matches = command().get_matches();
+    let outcome = match matches.subcommand() {
+        Some(("check", matches)) => check::run(matches),
+        Some(("codes", matches)) => codes::run(matches),
+        Some(("diff", matches)) => diff::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
+        Some(("history", matches)) => history::run(matches),
+        Some(("promote", matches)) => promote::run(matches),
+        Some(("publish", matches)) => publish::run(matches),
+        Some(("status", matches)) => status::run(matches),
+        _ => Ok(Exit::Done),
+    };
+    let exit = outcome.unwrap_or_else(|error| {
+        eprintln!("{error}");
+        match error {
+            Error::Invalid { .. } => Exit::Refused,
+            _ => Exit::Unreachable,
+        }
+    });
+    Ok(exit.into())
 }
 
 fn command() -> Command {
@@ -19,29 +54,16 @@
         .about("Checks, publishes and inspects the documents of cornellink")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .subcommand(
-            Command::new("check")
-                .about("Checks a document")
-                .arg(Arg::new("document").required(true)),
-        )
-        .subcommand(
-            Command::new("explain")
-                .about("Explains a result code")
-                .arg(Arg::new("code").required(true).value_parser(clap::value_parser!(u16))),
-        )
-}
-
-fn check(matches: &ArgMatches) -> eyre::Result<()> {
-    let path: &String = matches.get_one("document").expect("`document` is required");
-    let document = parse(&std::fs::read_to_string(path)?)?;
-    println!("`{path}` is valid: {} services", document.services.len());
-    Ok(())
-}
-
-fn explain(matches: &ArgMatches) -> eyre::Result<()> {
-    let number: u16 = *matches.get_one("code").expect("`code` is required");
-    let code = Code::from_number(number);
-    let code = code.ok_or_else(|| eyre::eyre!("code `{number}` does not exist"))?;
-    println!("{number} {}\n{}", code.text(), code.explanation());
-    Ok(())
+        .arg_required_else_help(true)
+        .subcommands([
+            check::command(),
+            codes::command(),
+            diff::command(),
+            explain::command(),
+            history::command(),
+            promote::command(),
+            publish::command(),
+            status::command(),
+        ])
+        .after_help(exit::HELP)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,3 @@
-fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<std::process::ExitCode> {
     cornellink::command::run()
 }
--- a/src/process/configuration.rs
+++ b/src/process/configuration.rs
@@ -85,6 +85,7 @@
         let revision = history.current();
         serde_json::json!({
             "revision": history.number(),
+            "nonce": revision.as_ref().map(|revision| revision.nonce),
             "author": revision.as_ref().map(|revision| revision.author.clone()),
             "environment": revision.map(|revision| revision.document.environment.clone()),
             "formats": crate::version::parse::FORMATS,
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod class;
+pub mod difference;
 pub mod document;
 pub mod history;
 pub mod keys;
--- /dev/null
+++ b/tests/commands.rs
@@ -0,0 +1,252 @@
+//! The operators' commands, run as processes.
+
+mod fixture;
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::Duration;
+
+use cornellink::command::codes::render;
+use cornellink::platform::stand_in::hosted::host_platform;
+use cornellink::platform::stand_in::log::LogFaults;
+use cornellink::prelude::*;
+use fixture::admin::{status, wait_revision};
+use fixture::entry_process::EntryProcess;
+use fixture::free_address;
+use fixture::stream::document;
+
+const RETENTION: Duration = Duration::from_secs(3600);
+
+/// Runs a command; returns its exit code and its output.
+fn run(args: &[&str]) -> (i32, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_cornellink")).args(args).output().unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
+}
+
+/// A file that is removed at the end of the test.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let name = format!("cornellink-{}-{name}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, text).unwrap();
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().unwrap()
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn publish(platform: SocketAddr, author: &str, replace: &str, file: &File) -> (i32, String) {
+    let platform = platform.to_string();
+    let args = ["publish", "--platform", &platform, "--author", author, "--replace", replace];
+    run(&[&args[..], &[file.path()]].concat())
+}
+
+/// Guards against a page of codes that differs from what entries send.
+#[test]
+fn page_of_codes_is_generated() {
+    let page = std::fs::read_to_string("docs/codes.md").unwrap();
+
+    assert_eq!(page, render(), "run `cornellink codes > docs/codes.md`");
+}
+
+/// Guards against a command that leaves operators without examples.
+#[test]
+fn every_command_shows_examples() {
+    let commands = ["check", "codes", "diff", "explain", "history", "promote", "publish", "status"];
+
+    for command in commands {
+        let (exit, help) = run(&[command, "--help"]);
+        assert_eq!(exit, 0);
+        assert!(help.contains(&format!("Examples:\n  cornellink {command}")), "{command}");
+    }
+}
+
+/// Guards against scripts that cannot tell a bad file from a missing one.
+#[test]
+fn check_has_distinct_exit_codes() {
+    let good = File::new("good.jsonc", &document("trial", 1));
+    let bad = File::new("bad.jsonc", "{ \"format\": 1 }");
+
+    assert_eq!(run(&["check", good.path()]).0, 0);
+    let (exit, text) = run(&["check", bad.path()]);
+    assert_eq!(exit, 3);
+    assert!(text.contains(":1:1: `environment`: expected a name"), "{text}");
+    assert_eq!(run(&["check", "/no/such/file"]).0, 6);
+    assert_eq!(run(&["check"]).0, 2);
+    let (_, json) = run(&["check", "--json", bad.path()]);
+    let json: serde_json::Value = serde_json::from_str(&json).unwrap();
+    assert_eq!(json["problems"].as_array().unwrap().len(), 3);
+}
+
+/// Guards against a difference that shows layout, or hides a change of meaning.
+#[test]
+fn diff_shows_meaning_alone() {
+    let text = std::fs::read_to_string("examples/ebro.jsonc").unwrap();
+    let relaid = text.replace("  ", " ").replace("// The default", "// A default");
+    let edited = text
+        .replace("\"deadlineMs\": 800", "\"deadlineMs\": 900")
+        .replace("\"name\": \"gates\", \"weight\": 4", "\"name\": \"gate\", \"weight\": 4");
+    let (old, relaid) = (File::new("old.jsonc", &text), File::new("relaid.jsonc", &relaid));
+    let edited = File::new("edited.jsonc", &edited);
+
+    assert_eq!(run(&["diff", old.path(), relaid.path()]), (0, "no differences\n".into()));
+    let (exit, changes) = run(&["diff", old.path(), edited.path()]);
+
+    let expected = "~ service \"availability\", class \"check\": deadlineMs 800 -> 900\n\
+                    + workspace \"gate\"\n- workspace \"gates\"\n";
+    assert_eq!((exit, changes.as_str()), (1, expected));
+}
+
+/// Guards against a second operator who overwrites the first, or is not told what happened.
+#[test]
+fn conflict_names_the_winner_and_its_changes() {
+    let (_host, platform) = host_platform(RETENTION).unwrap();
+    let files: Vec<File> = (1..=3)
+        .map(|queue| File::new(&format!("conflict-{queue}.jsonc"), &document("trial", queue)))
+        .collect();
+    assert_eq!(publish(platform, "ana", "0", &files[0]).0, 0);
+    assert_eq!(publish(platform, "jon", "1", &files[1]).0, 0);
+
+    let (exit, text) = publish(platform, "ana", "1", &files[2]);
+
+    assert_eq!(exit, 4);
+    assert!(text.contains("revision 2 by `jon`"), "{text}");
+    assert!(text.contains("~ service \"tickets\": queue 1 -> 2"), "{text}");
+}
+
+/// Guards against racing publishers of which more than one, or none, is told that it won.
+#[test]
+fn one_of_several_racing_publishers_wins() {
+    let (_host, platform) = host_platform(RETENTION).unwrap();
+    let threads: Vec<_> = (0..4)
+        .map(|number| {
+            std::thread::spawn(move || {
+                let name = format!("race-{number}.jsonc");
+                let file = File::new(&name, &document("trial", number));
+                publish(platform, &format!("author-{number}"), "0", &file).0
+            })
+        })
+        .collect();
+
+    let mut exits: Vec<i32> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    exits.sort_unstable();
+
+    assert_eq!(exits, [0, 4, 4, 4]);
+}
+
+/// Guards against a second publication after the response of the log was lost.
+#[test]
+fn lost_response_publishes_once() {
+    let (host, platform) = host_platform(RETENTION).unwrap();
+    host.with(|service| {
+        service.log.set_faults(LogFaults { lose_answers: true, ..LogFaults::default() });
+    });
+    let file = File::new("lost.jsonc", &document("trial", 1));
+
+    let (exit, text) = publish(platform, "ana", "0", &file);
+
+    assert_eq!(exit, 0, "{text}");
+    let (_, history) = run(&["history", "--json", "--platform", &platform.to_string()]);
+    let rows: serde_json::Value = serde_json::from_str(&history).unwrap();
+    assert_eq!(rows.as_array().unwrap().len(), 1);
+    assert_eq!(rows[0]["verdict"], "accepted");
+}
+
+/// Guards against a publication reported as made while the log is down.
+#[test]
+fn publish_reports_that_the_log_is_down() {
+    let (host, platform) = host_platform(RETENTION).unwrap();
+    host.with(|service| {
+        service.log.set_faults(LogFaults { down: true, ..LogFaults::default() });
+    });
+    let file = File::new("down.jsonc", &document("trial", 1));
+
+    assert_eq!(publish(platform, "ana", "0", &file).0, 6);
+}
+
+/// Guards against `--wait` that hides a VM without the document, and a status that does.
+#[test]
+fn wait_and_status_tell_which_vms_have_the_document() {
+    let (_host, platform) = host_platform(RETENTION).unwrap();
+    let entry = EntryProcess::start("waiting", "a", platform);
+    let file = File::new("wait.jsonc", &document("trial", 1));
+    let (platform, admin) = (platform.to_string(), entry.admin.to_string());
+    let both = format!("{admin},{}", free_address());
+    wait_up(entry.admin);
+
+    let args = ["publish", "--wait", "--platform", &platform, "--timeout"];
+    let all = run(&[&args[..], &["6", "--admin", &admin, file.path()]].concat());
+    let some = run(&[&args[..], &["1", "--admin", &both, file.path()]].concat());
+
+    assert_eq!(all.0, 0, "{}", all.1);
+    assert_eq!(some.0, 5, "{}", some.1);
+    assert!(some.1.contains("does not respond"), "{}", some.1);
+    assert_eq!(run(&["status", "--admin", &admin]).0, 0);
+    assert_eq!(run(&["status", "--admin", &both]).0, 1);
+}
+
+fn wait_up(admin: SocketAddr) {
+    while status(admin).is_null() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// Guards against a document in production that was never tried, or that lost its comments.
+#[test]
+fn promote_takes_only_what_was_in_force_in_trial() {
+    let (_trial_host, trial) = host_platform(RETENTION).unwrap();
+    let (_host, production) = host_platform(RETENTION).unwrap();
+    let text = std::fs::read_to_string("examples/hungary.jsonc").unwrap();
+    let tried = File::new("tried.jsonc", &text);
+    let untried = File::new("untried.jsonc", &text.replace("\"slots\": 3", "\"slots\": 4"));
+    assert_eq!(publish(trial, "ana", "0", &tried).0, 0);
+    let (from, to) = (trial.to_string(), production.to_string());
+    let args = ["promote", "--from", &from, "--to", &to];
+    let overlay = ["--overlay", "examples/production/hungary.jsonc"];
+
+    let refused = run(&[&args[..], &overlay, &["--yes", "--document", untried.path()]].concat());
+    let shown = run(&[&args[..], &overlay].concat());
+    let unchanged = run(&["history", "--platform", &to, "--json"]);
+    let done = run(&[&args[..], &overlay, &["--yes", "--document", tried.path()]].concat());
+
+    assert_eq!(refused.0, 3, "{}", refused.1);
+    assert_eq!((shown.0, unchanged.1.as_str()), (0, "[]\n"));
+    assert!(shown.1.contains("+ service \"ticket-desk\""), "{}", shown.1);
+    assert_eq!(done.0, 0, "{}", done.1);
+    let (_, published) = run(&["history", "--platform", &to, "--show", "1"]);
+    assert!(published.contains("\"environment\": \"production\""));
+    assert!(published.contains("// Repair tickets") && published.contains("10.11.1.11:8081"));
+}
+
+/// Guards against a publish that loses the document because the log forgot its publication.
+#[test]
+fn publish_finds_the_revision_after_the_log_forgot_it() {
+    let retention = Duration::from_millis(1500);
+    let (_host, platform) = host_platform(retention).unwrap();
+    // The entry takes a day for the retention and so never renews.
+    let entry = EntryProcess::start("forgetful", "a", platform);
+    let files =
+        [1, 2].map(|queue| File::new(&format!("forgot-{queue}.jsonc"), &document("trial", queue)));
+    assert_eq!(publish(platform, "ana", "0", &files[0]).0, 0);
+    wait_revision(entry.admin, 1);
+    std::thread::sleep(retention + Duration::from_millis(200));
+    let (platform, admin) = (platform.to_string(), entry.admin.to_string());
+
+    let blind = run(&["publish", "--platform", &platform, files[1].path()]);
+    let informed = run(&["publish", "--platform", &platform, "--admin", &admin, files[1].path()]);
+
+    assert_eq!(blind.0, 3, "{}", blind.1);
+    assert_eq!(informed.0, 0, "{}", informed.1);
+    wait_revision(entry.admin, 2);
+}
