--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -101,6 +101,7 @@
                 admin,
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
+                retention_ms: RETENTION.as_millis() as u64,
                 log: "warn".into(),
                 callers: Default::default(),
                 shutdown: Default::default(),
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod caller_settings;
 pub mod callers;
+pub mod configuration;
 pub mod entry;
 pub mod fleet;
 pub mod follower;
