Measure how fast a publication is in force, and generate a page of all fields

The new benchmark `config` runs 16 entry processes on a log with a retention of 4 s, four racing publishers, a restart every 1.5 s and five outages of 2 s right after an append, before any reader has seen the record.

--- a/benches/config.rs
+++ b/benches/config.rs
@@ -1,8 +1,8 @@
 //! Time from an accepted publication to its document in force on every entry.
 //!
 //! 16 entry processes follow a log with a retention of 4 s. Four publishers race, entries are
-//! killed and started again, and the log goes down for 2 s right after some acceptances. Each
-//! entry is asked for its revision every few milliseconds. Times count from the log's own time
+//! killed and started again, and the log goes down for 2 s right after some appends, before any
+//! reader has seen the record. Each entry is asked for its revision every few milliseconds. Times count from the log's own time
 //! of the record; an entry that is down at the time counts until its successor has the document.
 
 #[path = "../tests/fixture/mod.rs"]
@@ -32,8 +32,7 @@
 const PUBLISHERS: u64 = 4;
 const RETENTION: Duration = Duration::from_secs(4);
 const OUTAGE: Duration = Duration::from_secs(2);
-/// Accepted publications between two outages.
-const OUTAGE_EVERY: u64 = 25;
+const OUTAGE_PAUSE: Duration = Duration::from_secs(5);
 const RESTART_PAUSE: Duration = Duration::from_millis(1500);
 const POLL_PAUSE: Duration = Duration::from_millis(8);
 const RUN: Duration = Duration::from_secs(36);
@@ -79,16 +78,16 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-fn start(index: usize, platform: SocketAddr) -> EntryProcess {
+fn start(index: usize, generation: u64, platform: SocketAddr) -> EntryProcess {
     let retention = RETENTION.as_millis() as u64;
     let further = serde_json::json!({ "retentionMs": retention, "log": "error" });
-    EntryProcess::start_with(&format!("config-{index}"), "a", platform, further)
+    EntryProcess::start_with(&format!("config-{index}-{generation}"), "a", platform, further)
 }
 
 fn main() {
     println!("seed {SEED}");
     let (host, platform) = host_platform(RETENTION).expect("the platform starts");
-    let entries = (0..ENTRIES).map(|index| RefCell::new(start(index, platform))).collect();
+    let entries = (0..ENTRIES).map(|index| RefCell::new(start(index, 0, platform))).collect();
     let seen = Seen { in_force: vec![BTreeMap::new(); ENTRIES], ..Seen::default() };
     let bench = Rc::new(Bench { platform, host, entries, seen: RefCell::new(seen) });
     block_on(run(bench.clone())).expect("the runtime starts");
@@ -105,6 +104,7 @@
         tasks.push(monoio::spawn(publish(bench.clone(), number, end)));
     }
     tasks.push(monoio::spawn(restart(bench.clone(), end)));
+    tasks.push(monoio::spawn(interrupt(bench.clone(), end)));
     monoio::time::sleep(RUN + SETTLE).await;
     bench.seen.borrow_mut().stopped = true;
     for task in tasks {
@@ -150,6 +150,8 @@
         let admins = [bench.entries[random.random_range(0..ENTRIES)].borrow().admin];
         let Ok(mut timeline) = Timeline::read(bench.platform, &admins).await else { continue };
         queue += PUBLISHERS;
+        // The time in which an operator looks at the difference, so that publishers do race.
+        monoio::time::sleep(Duration::from_millis(random.random_range(0..200))).await;
         let text = document("trial", queue);
         let parsed = parse(&text).expect("the document is valid");
         let replaces = timeline.history.number();
@@ -168,27 +170,30 @@
     }
 }
 
-fn accept(bench: &Rc<Bench>, timeline: &Timeline, revision: u64, offset: u64) {
+fn accept(bench: &Bench, timeline: &Timeline, revision: u64, offset: u64) {
     let row = timeline.rows.iter().find(|row| row.offset == offset);
     let row = row.expect("an accepted publication is in the timeline");
     let mut seen = bench.seen.borrow_mut();
     seen.note(revision, row.nonce);
     seen.accepted.insert(revision, row.time);
-    if revision % OUTAGE_EVERY == 0 {
-        seen.outages += 1;
-        set_down(bench, true);
-        let bench = bench.clone();
-        monoio::spawn(async move {
-            monoio::time::sleep(OUTAGE).await;
-            set_down(&bench, false);
-        });
+}
+
+/// Takes the log down right after an append, again and again.
+async fn interrupt(bench: Rc<Bench>, end: Instant) {
+    while Instant::now() + OUTAGE_PAUSE + OUTAGE < end {
+        monoio::time::sleep(OUTAGE_PAUSE).await;
+        set_faults(&bench, LogFaults { down_after_append: true, ..LogFaults::default() });
+        while !bench.host.with(|service| service.log.faults().down) {
+            monoio::time::sleep(POLL_PAUSE).await;
+        }
+        monoio::time::sleep(OUTAGE).await;
+        set_faults(&bench, LogFaults::default());
+        bench.seen.borrow_mut().outages += 1;
     }
 }
 
-fn set_down(bench: &Bench, down: bool) {
-    bench.host.with(move |service| {
-        service.log.set_faults(LogFaults { down, ..LogFaults::default() });
-    });
+fn set_faults(bench: &Bench, faults: LogFaults) {
+    bench.host.with(move |service| service.log.set_faults(faults));
 }
 
 async fn restart(bench: Rc<Bench>, end: Instant) {
@@ -197,9 +202,10 @@
         monoio::time::sleep(RESTART_PAUSE).await;
         let index = random.random_range(0..ENTRIES);
         bench.entries[index].borrow_mut().kill();
-        let entry = start(index, bench.platform);
+        let generation = bench.seen.borrow().restarts + 1;
+        let entry = start(index, generation, bench.platform);
         bench.entries[index].replace(entry);
-        bench.seen.borrow_mut().restarts += 1;
+        bench.seen.borrow_mut().restarts = generation;
     }
 }
 
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -6,6 +6,7 @@
 pub mod entries;
 pub mod exit;
 pub mod explain;
+pub mod fields;
 pub mod history;
 pub mod options;
 pub mod promote;
@@ -33,6 +34,7 @@
         Some(("codes", matches)) => codes::run(matches),
         Some(("diff", matches)) => diff::run(matches),
         Some(("explain", matches)) => explain::run(matches),
+        Some(("fields", matches)) => fields::run(matches),
         Some(("history", matches)) => history::run(matches),
         Some(("promote", matches)) => promote::run(matches),
         Some(("publish", matches)) => publish::run(matches),
@@ -60,6 +62,7 @@
             codes::command(),
             diff::command(),
             explain::command(),
+            fields::command(),
             history::command(),
             promote::command(),
             publish::command(),
--- a/src/platform/stand_in/log.rs
+++ b/src/platform/stand_in/log.rs
@@ -21,6 +21,8 @@
     pub down: bool,
     /// Time added to every operation.
     pub delay: Duration,
+    /// The next append takes effect and is answered, and then the log is down.
+    pub down_after_append: bool,
     /// Appends take effect, but their answers are lost.
     pub lose_answers: bool,
 }
@@ -60,6 +62,11 @@
         self.faults.set(faults);
     }
 
+    /// The faults in force.
+    pub fn faults(&self) -> LogFaults {
+        self.faults.get()
+    }
+
     /// Number of appends so far.
     pub fn appends(&self) -> u64 {
         self.appends.get()
@@ -124,7 +131,11 @@
             for (index, value) in records.into_iter().enumerate() {
                 stream.records.push_back(Record { offset: start + index as u64, time, value });
             }
-            if self.faults.get().lose_answers {
+            let faults = self.faults.get();
+            if faults.down_after_append {
+                self.set_faults(LogFaults { down: true, down_after_append: false, ..faults });
+            }
+            if faults.lose_answers {
                 return Err(Error::PlatformTimeout);
             }
             Ok(start)
--- a/src/version/overlay.rs
+++ b/src/version/overlay.rs
@@ -28,7 +28,8 @@
     name: String,
 }
 
-const SCHEMA: Schema = Schema {
+/// The fields of an overlay.
+pub const SCHEMA: Schema = Schema {
     fields: &[
         Field::required("environment", Kind::Name),
         Field::default("services", Kind::List { of: &SERVICE, min: 0, max: 2000 }, "[]"),
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -60,10 +60,19 @@
     assert_eq!(page, render(), "run `cornellink codes > docs/codes.md`");
 }
 
+/// Guards against a page of fields that differs from what the checks take.
+#[test]
+fn page_of_fields_is_generated() {
+    let page = std::fs::read_to_string("docs/fields.md").unwrap();
+
+    assert_eq!(page, cornellink::command::fields::render(), "run `cornellink fields`");
+}
+
 /// Guards against a command that leaves operators without examples.
 #[test]
 fn every_command_shows_examples() {
-    let commands = ["check", "codes", "diff", "explain", "history", "promote", "publish", "status"];
+    let commands =
+        ["check", "codes", "diff", "explain", "fields", "history", "promote", "publish", "status"];
 
     for command in commands {
         let (exit, help) = run(&[command, "--help"]);
