--- a/tests/check.rs
+++ b/tests/check.rs
@@ -67,6 +67,16 @@
     assert!(Settings::parse(&settings).is_ok());
 }
 
+/// Guards against a document in the README that operators cannot copy.
+#[test]
+fn document_of_the_readme_is_valid() {
+    let readme = fs::read_to_string("README.md").unwrap();
+
+    let example = readme.split("```jsonc").nth(1).and_then(|rest| rest.split("```").next());
+
+    assert_eq!(parse(example.unwrap()).unwrap().services.len(), 1);
+}
+
 /// Guards against an overlay that is ignored because it names no service of the document.
 #[test]
 fn overlay_of_an_unknown_service_is_refused() {
