--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -3,6 +3,7 @@
 use monoio::net::TcpListener;
 
 use super::callers::Callers;
+use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
@@ -15,6 +16,7 @@
 use crate::platform::http_log::HttpLog;
 use crate::platform::log::Log;
 use crate::prelude::*;
+use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
@@ -23,6 +25,7 @@
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
+    pub configuration: Configuration,
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
     pub recorder: Recorder,
@@ -37,6 +40,7 @@
         let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
         Self {
             settings,
+            configuration: Configuration::default(),
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
             recorder: Recorder::default(),
@@ -113,6 +117,10 @@
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
         "/ready" if entry.is_ready() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
+        "/revision" => match entry.configuration.base() {
+            Some(base) => Answer::new(StatusCode::OK, ConfigRecord::Renew(base).encode()),
+            None => Answer::own(Code::NotReady),
+        },
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
         "/trace" if call.method == Method::POST => start_recording(&entry, &call),
         "/trace" => Answer::new(StatusCode::OK, entry.recorder.trace()),
@@ -136,6 +144,8 @@
         "name": settings.name,
         "domain": settings.domain,
         "revision": revision,
+        "ready": revision.is_some(),
+        "configuration": entry.configuration.status(),
     });
     status.to_string()
 }
