--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -12,6 +12,7 @@
 use crate::process::entry::{self, Entry};
 use crate::process::runtime::block_on;
 use crate::process::settings::Settings;
+use crate::version::overlay::Overlay;
 use crate::version::record::{ConfigRecord, PublishRecord, STREAM};
 
 /// Number of entries.
@@ -26,9 +27,11 @@
 const READY_INTERVAL: Duration = Duration::from_millis(5);
 /// Longest wait for an operation of the log.
 const LOG_TIMEOUT: Duration = Duration::from_secs(2);
-/// Services, path prefixes and numbers of targets.
-const SERVICES: [(&str, &str, usize); 3] =
-    [("ticket-desk", "/tickets", 10), ("job-booking", "/jobs", 6), ("stock", "/stock", 12)];
+/// The Hungarian deployment's document.
+const EXAMPLE: &str = include_str!("../../examples/hungary.jsonc");
+/// Services and numbers of targets.
+const SERVICES: [(&str, usize); 3] =
+    [("ticket-desk", 10), ("job-booking", 6), ("stock-deposits", 12)];
 /// Slots of each target.
 const SLOTS: usize = 3;
 /// Service time of each call.
@@ -49,12 +52,12 @@
         let (platform, address) = host_platform(RETENTION)?;
         let mut targets = Vec::new();
         let mut target_addresses = Vec::new();
-        for (_, _, count) in SERVICES {
+        for (_, count) in SERVICES {
             let (host, addresses) = host_targets(count, SLOTS, SERVICE_TIME)?;
             targets.push(host);
             target_addresses.push(addresses);
         }
-        publish(address, document(&target_addresses))?;
+        publish(address, document(&target_addresses)?)?;
         let mut deployment = Self {
             entries: Vec::new(),
             admins: Vec::new(),
@@ -85,7 +88,7 @@
     /// Prints where to send requests.
     pub fn print_addresses(&self) {
         for (entry, admin) in self.entries.iter().zip(&self.admins) {
-            println!("curl -H 'cornellink-workspace: north' http://{entry}/tickets/1");
+            println!("curl -H 'cornellink-workspace: counters' http://{entry}/tickets/1");
             println!("curl http://{admin}/metrics");
         }
     }
@@ -153,37 +156,17 @@
     })?
 }
 
-fn document(targets: &[Vec<SocketAddr>]) -> String {
-    let services = SERVICES.iter().zip(targets).map(|((name, prefix, _), targets)| {
+/// The example's text with loopback addresses in place of its own.
+fn document(targets: &[Vec<SocketAddr>]) -> Result<String> {
+    let services = SERVICES.iter().zip(targets).map(|((name, _), targets)| {
         let targets = targets.iter().enumerate().map(|(index, address)| {
             serde_json::json!({ "address": address, "domain": DOMAINS[index % DOMAINS.len()] })
         });
-        serde_json::json!({
-            "name": name,
-            "prefix": prefix,
-            "slots": SLOTS,
-            "connections": 200,
-            "queue": 200,
-            "probePercent": 1.0,
-            "probeCostMs": 6,
-            "classes": [
-                { "name": "lookup", "methods": ["GET"], "prefix": "/", "deadlineMs": 1000,
-                  "idempotent": true },
-                { "name": "booking", "methods": ["POST"], "prefix": "/", "deadlineMs": 2000,
-                  "idempotent": false },
-            ],
-            "targets": targets.collect::<Vec<_>>(),
-        })
+        serde_json::json!({ "name": name, "targets": targets.collect::<Vec<_>>() })
     });
-    let document = serde_json::json!({
-        "format": 1,
+    let overlay = serde_json::json!({
         "environment": "trial",
-        "maxEntries": 16,
-        "workspaces": [
-            { "name": "north", "weight": 1, "retryPercent": 10.0 },
-            { "name": "south", "weight": 1, "retryPercent": 10.0 },
-        ],
         "services": services.collect::<Vec<_>>(),
     });
-    document.to_string()
+    Overlay::parse(&overlay.to_string())?.apply(EXAMPLE)
 }
--- a/src/demo/traffic.rs
+++ b/src/demo/traffic.rs
@@ -20,7 +20,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Path prefixes of the services, one in three calls each.
 const PREFIXES: [&str; 3] = ["/tickets", "/jobs", "/stock"];
-const WORKSPACES: [&str; 2] = ["north", "south"];
+const WORKSPACES: [&str; 2] = ["counters", "workshops"];
 
 /// What became of the calls of one workspace and class.
 #[derive(Clone)]
--- a/src/load/scenario.rs
+++ b/src/load/scenario.rs
@@ -46,8 +46,8 @@
     /// The workspaces whose calls arrive.
     pub fn workspaces(self) -> &'static [&'static str] {
         match self {
-            Self::Opening | Self::Steady => &["workshop-buda", "workshop-pest", "couriers"],
-            Self::DawnRush | Self::MonthEnd => &["navarra", "rioja", "accounting"],
+            Self::Opening | Self::Steady => &["counters", "workshops", "accounting"],
+            Self::DawnRush | Self::MonthEnd => &["gates", "office", "bookkeeping"],
         }
     }
 
@@ -74,9 +74,9 @@
 
 const HUNGARY: &[Mix] = &[
     mix("ticket-desk", "lookup", "GET", "/tickets", 60, 4_000.0),
-    mix("stock", "lookup", "GET", "/stock", 25, 4_000.0),
+    mix("stock-deposits", "lookup", "GET", "/stock", 25, 4_000.0),
     booking("job-booking", "booking", "/jobs", 12, 8_000.0),
-    booking("stock", "deposit", "/stock/deposits", 3, 8_000.0),
+    booking("stock-deposits", "deposit", "/stock/deposits", 3, 8_000.0),
 ];
 
 const EBRO: &[Mix] = &[
@@ -88,8 +88,8 @@
 const EBRO_MONTH_END: &[Mix] = &[
     mix("availability", "check", "GET", "/availability", 70, 5_000.0),
     booking("plot-booking", "booking", "/plots", 10, 10_000.0),
-    mix("accounts", "entry", "GET", "/accounts/entries", 17, 5_000.0),
-    mix("accounts", "pull", "GET", "/accounts/logs", 3, 200_000.0),
+    mix("accounts", "lookup", "GET", "/accounts/entries", 17, 5_000.0),
+    mix("accounts", "log-pull", "GET", "/accounts/gate-log", 3, 200_000.0),
 ];
 
 const fn mix(
