Decide where a call goes, when it waits and when it is refused

The entry sent every call at once, so a swing or a flood filled the queues of the targets, where all workspaces wait alike.

Slots of a service are cut into one run for each entry, which it uses first; calls beyond it are bounded by what earlier ones met there. Calls without a slot wait in start-time fair queues. Long work stays in the entry's own long slots.

--- a/src/load/send.rs
+++ b/src/load/send.rs
@@ -131,17 +131,10 @@
     }
 }
 
+/// Lets other tasks and the driver run. A task that only wakes itself is polled again at once by
+/// the runtime, before any answer is read.
 async fn yield_now() {
-    let mut yielded = false;
-    std::future::poll_fn(|context| {
-        if yielded {
-            return std::task::Poll::Ready(());
-        }
-        yielded = true;
-        context.waker().wake_by_ref();
-        std::task::Poll::Pending
-    })
-    .await;
+    monoio::spawn(async {}).await;
 }
 
 fn show_progress(sent: usize, total: usize, ended: usize) {
--- a/src/platform/stand_in/target.rs
+++ b/src/platform/stand_in/target.rs
@@ -21,11 +21,21 @@
     pub slowdown: u32,
     /// Refuses new calls by contract and says that it drains.
     pub draining: bool,
+    /// Fails in every second period of this length.
+    pub flapping: Option<Duration>,
+    /// Time added to every call outside its slot, as between failure domains.
+    pub distance: Duration,
 }
 
 impl Default for TargetFaults {
     fn default() -> Self {
-        Self { failing: false, slowdown: 1, draining: false }
+        Self {
+            failing: false,
+            slowdown: 1,
+            draining: false,
+            flapping: None,
+            distance: Duration::ZERO,
+        }
     }
 }
 
@@ -40,6 +50,9 @@
     runs: RefCell<HashMap<String, u32>>,
     calls: Cell<u64>,
     probes: RefCell<Vec<Instant>>,
+    started: Instant,
+    arrivals: RefCell<HashMap<String, Instant>>,
+    failed: Cell<u64>,
 }
 
 impl StandInTarget {
@@ -55,6 +68,9 @@
             runs: RefCell::default(),
             calls: Cell::new(0),
             probes: RefCell::default(),
+            started: Instant::now(),
+            arrivals: RefCell::default(),
+            failed: Cell::new(0),
         }
     }
 
@@ -73,6 +89,16 @@
         self.calls.get()
     }
 
+    /// Number of calls that were answered with an error.
+    pub fn failed(&self) -> u64 {
+        self.failed.get()
+    }
+
+    /// Time of the newest call from each entry, also of refused ones.
+    pub fn arrivals(&self) -> HashMap<String, Instant> {
+        self.arrivals.borrow().clone()
+    }
+
     /// Times of all probes so far.
     pub fn probes(&self) -> Vec<Instant> {
         self.probes.borrow().clone()
@@ -84,7 +110,12 @@
             return self.probe().await;
         }
         let faults = self.faults.get();
-        if faults.failing {
+        self.note_arrival(&call);
+        if !faults.distance.is_zero() {
+            monoio::time::sleep(faults.distance).await;
+        }
+        if faults.failing || self.is_down(faults) {
+            self.failed.set(self.failed.get() + 1);
             return self.report(Answer::new(StatusCode::INTERNAL_SERVER_ERROR, "failing"));
         }
         if faults.draining {
@@ -98,6 +129,20 @@
         self.report(echo(&call))
     }
 
+    /// Call identifiers start with the entry's name.
+    fn note_arrival(&self, call: &Call) {
+        let id = call.header(header::CALL_ID).and_then(|id| id.rsplit_once('-'));
+        if let Some((entry, _)) = id {
+            self.arrivals.borrow_mut().insert(entry.into(), Instant::now());
+        }
+    }
+
+    fn is_down(&self, faults: TargetFaults) -> bool {
+        let Some(period) = faults.flapping else { return false };
+        let periods = self.started.elapsed().as_millis() / period.as_millis().max(1);
+        periods % 2 == 1
+    }
+
     async fn run(&self, call: &Call, time: Duration) {
         let _slot = self.take_slot().await;
         self.calls.set(self.calls.get() + 1);
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -4,27 +4,33 @@
 
 use super::fleet::Fleet;
 use super::follower;
+use super::grant;
 use super::observe::Metrics;
 use super::recorder::Recorder;
 use super::settings::Settings;
+use super::watch;
 use super::Result;
 use crate::connection::caller::CallerConnection;
 use crate::connection::guard::Fault;
 use crate::connection::limits::Limits;
 use crate::connection::server;
 use crate::platform::http_log::HttpLog;
+use crate::platform::http_vms::HttpVms;
 use crate::platform::log::Log;
+use crate::platform::vms::Vms;
 use crate::prelude::*;
 use crate::request::dispatch;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the list of VMs, within the 2 s in which a leaving target must be seen.
+const VMS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
-    pub fleet: RefCell<Fleet>,
+    pub fleet: Rc<RefCell<Fleet>>,
     pub metrics: Metrics,
     pub recorder: Recorder,
     revision: RefCell<Option<Rc<Revision>>>,
@@ -34,10 +40,10 @@
 impl Entry {
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
-        let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let fleet = Fleet::new(&settings.name, &settings.domain);
         Self {
             settings,
-            fleet: RefCell::new(Fleet::new(seed)),
+            fleet: Rc::new(RefCell::new(fleet)),
             metrics: Metrics::default(),
             recorder: Recorder::default(),
             revision: RefCell::default(),
@@ -53,7 +59,7 @@
     /// Puts a revision in force.
     pub fn set_revision(&self, revision: Option<Rc<Revision>>) {
         if let Some(revision) = &revision {
-            self.fleet.borrow_mut().apply(&revision.document);
+            self.fleet.borrow_mut().apply(&revision.document, Instant::now());
         }
         self.revision.replace(revision);
     }
@@ -82,6 +88,9 @@
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
     monoio::spawn(follower::follow(entry.clone(), log));
+    monoio::spawn(grant::serve_queues(entry.fleet.clone()));
+    let vms: Rc<dyn Vms> = Rc::new(HttpVms::new(entry.settings.platform, VMS_TIMEOUT));
+    monoio::spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
     monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
     loop {
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -1,98 +1,174 @@
-//! All targets that an entry knows, and the choice among them.
+//! All services and targets that an entry knows.
 
 use std::collections::HashMap;
 
+use local_sync::oneshot;
 use rand::rngs::SmallRng;
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use slotmap::SlotMap;
 
+use super::budget::Budget;
+use super::health::Health;
 use super::pool::Pool;
-use super::target::{LoadReport, Target, TargetKey};
+use super::queue::FlowKey;
+use super::service::{ServiceId, ServiceState};
+use super::share::{long_slots, Place};
+use super::target::{Target, TargetKey};
+use crate::platform::vms::{Vm, VmRole};
 use crate::prelude::*;
 use crate::version::document::Document;
-use crate::version::keys::ServiceKey;
-use crate::version::policy::Policy;
 use crate::version::service::Service;
 
-/// The targets of all services.
+/// The targets of all services, the queues in front of them, and the retry budgets.
 pub struct Fleet {
-    targets: SlotMap<TargetKey, Target>,
+    pub(super) targets: SlotMap<TargetKey, Target>,
+    pub(super) services: SlotMap<ServiceId, ServiceState>,
+    pub(super) random: SmallRng,
+    /// Number of the newest call sent.
+    pub(super) flight: u64,
+    /// Failure domain of the entry.
+    pub(super) domain: String,
+    /// Wakes the task that serves queues when a call starts to wait.
+    pub(super) idle: Option<oneshot::Sender<()>>,
+    name: String,
+    max_entries: u32,
+    listed: Option<Place>,
     addresses: HashMap<SocketAddr, TargetKey>,
-    services: Vec<Vec<TargetKey>>,
-    turn: usize,
-    random: SmallRng,
+    names: HashMap<String, ServiceId>,
+    budgets: HashMap<FlowKey, Budget>,
 }
 
 impl Fleet {
-    /// Creates an empty fleet.
-    pub fn new(seed: u64) -> Self {
+    /// Creates an empty fleet for an entry of the given name and failure domain.
+    pub fn new(name: &str, domain: &str) -> Self {
         Self {
             targets: SlotMap::with_key(),
+            services: SlotMap::with_key(),
+            random: SmallRng::seed_from_u64(xxhash_rust::xxh3::xxh3_64(name.as_bytes())),
+            flight: 0,
+            domain: domain.into(),
+            idle: None,
+            name: name.into(),
+            max_entries: 1,
+            listed: None,
             addresses: HashMap::new(),
-            services: Vec::new(),
-            turn: 0,
-            random: SmallRng::seed_from_u64(seed),
+            names: HashMap::new(),
+            budgets: HashMap::new(),
         }
     }
 
-    /// Takes over a document; targets that stay keep their state.
-    pub fn apply(&mut self, document: &Document) {
-        let mut kept = HashMap::new();
-        let mut services = Vec::new();
+    /// Takes over a document; services and targets that stay keep their state.
+    pub fn apply(&mut self, document: &Document, now: Instant) {
+        self.max_entries = document.max_entries;
+        let old_addresses = std::mem::take(&mut self.addresses);
+        let mut old_names = std::mem::take(&mut self.names);
         for service in &document.services {
-            let limit = (service.connections / document.max_entries.max(1)).max(1);
-            let keys = service.targets.iter().map(|spec| {
-                let known = self.addresses.get(&spec.address).copied();
-                let key = known.unwrap_or_else(|| {
-                    self.targets.insert(Target {
-                        address: spec.address,
-                        domain: spec.domain.clone(),
-                        slots: service.slots,
-                        inflight: 0,
-                        draining: false,
-                        report: None,
-                        pool: Rc::new(Pool::new(spec.address, limit)),
-                    })
-                });
-                kept.insert(spec.address, key);
-                key
-            });
-            services.push(keys.collect());
+            let id = old_names
+                .remove(&service.name)
+                .unwrap_or_else(|| self.services.insert(ServiceState::new(service.policy, 0)));
+            self.names.insert(service.name.clone(), id);
+            self.apply_service(id, service, &old_addresses, now);
+        }
+        // Calls that wait for a removed service are told that it has no target.
+        for id in old_names.into_values() {
+            self.services.remove(id);
         }
-        let gone = self.addresses.iter().filter(|(address, _)| !kept.contains_key(*address));
-        for (_, key) in gone {
-            self.targets.remove(*key);
+        for (address, key) in old_addresses {
+            if !self.addresses.contains_key(&address) {
+                self.targets.remove(key);
+            }
         }
-        self.addresses = kept;
-        self.services = services;
+        self.assign();
     }
 
-    /// Picks a target for a call and counts the call as under way.
-    pub fn pick(
+    fn apply_service(
         &mut self,
-        key: ServiceKey,
+        id: ServiceId,
         service: &Service,
-        avoid: &[TargetKey],
-    ) -> Option<TargetKey> {
-        let all = &self.services[usize::from(key.0)];
-        let usable = |key: &TargetKey| !self.targets[*key].draining;
-        let open: Vec<TargetKey> = all.iter().copied().filter(usable).collect();
-        let fresh: Vec<TargetKey> =
-            open.iter().copied().filter(|key| !avoid.contains(key)).collect();
-        let candidates = if fresh.is_empty() { open } else { fresh };
-        let chosen = self.choose(service.policy, &candidates)?;
-        self.targets[chosen].inflight += 1;
-        Some(chosen)
+        old: &HashMap<SocketAddr, TargetKey>,
+        now: Instant,
+    ) {
+        let limit = (service.connections / self.max_entries.max(1)).max(1);
+        let is_first = self.services[id].targets.is_empty();
+        let mut keys = Vec::new();
+        for spec in &service.targets {
+            let known = self.addresses.get(&spec.address).or(old.get(&spec.address)).copied();
+            let health = if is_first { Health::default() } else { Health::ramping(now) };
+            let key = known.unwrap_or_else(|| {
+                self.targets.insert(Target {
+                    address: spec.address,
+                    domain: String::new(),
+                    slots: 0,
+                    home: 0,
+                    long_home: 0,
+                    flights: Vec::new(),
+                    health,
+                    leaving: Default::default(),
+                    others: Default::default(),
+                    pool: Rc::new(Pool::new(spec.address, limit)),
+                })
+            });
+            let target = &mut self.targets[key];
+            target.domain.clone_from(&spec.domain);
+            target.slots = service.slots.max(1);
+            target.pool.set_limit(limit);
+            self.addresses.insert(spec.address, key);
+            keys.push(key);
+        }
+        let state = &mut self.services[id];
+        state.policy = service.policy;
+        state.limit = service.queue as usize;
+        state.targets = keys;
     }
 
-    /// Ends a call on a target.
-    pub fn finish(&mut self, key: TargetKey, report: Option<LoadReport>, draining: bool) {
-        let Some(target) = self.targets.get_mut(key) else { return };
-        target.inflight -= 1;
-        target.draining |= draining;
-        if report.is_some() {
-            target.report = report;
+    /// Takes over the list of VMs; `own` is this entry's address in the list.
+    pub fn apply_vms(&mut self, vms: &[Vm], own: SocketAddr, now: Instant) {
+        // An empty list is a fault of the list, since at least this entry is alive.
+        if vms.is_empty() {
+            return;
+        }
+        let mut entries: Vec<SocketAddr> = vms
+            .iter()
+            .filter(|vm| vm.role == VmRole::Entry && !vm.leaving)
+            .map(|vm| vm.address)
+            .collect();
+        entries.sort_unstable();
+        let rank = entries.iter().position(|address| *address == own);
+        self.listed =
+            rank.map(|rank| Place { rank: rank as u32, count: entries.len().max(1) as u32 });
+        let listed: HashMap<SocketAddr, bool> =
+            vms.iter().map(|vm| (vm.address, vm.leaving)).collect();
+        for (_, target) in &mut self.targets {
+            match listed.get(&target.address) {
+                Some(false) => {
+                    if target.leaving.list_live(now) {
+                        target.health = Health::ramping(now);
+                    }
+                }
+                Some(true) => {
+                    target.leaving.list_live(now);
+                    target.leaving.leave(now);
+                }
+                None => target.leaving.list_without(now),
+            }
         }
+        self.assign();
+    }
+
+    /// The key of a service.
+    pub fn service(&self, name: &str) -> Option<ServiceId> {
+        self.names.get(name).copied()
+    }
+
+    /// The key of a target.
+    pub fn target(&self, address: SocketAddr) -> Option<TargetKey> {
+        self.addresses.get(&address).copied()
+    }
+
+    /// Takes a sign, from wherever it comes, that a target leaves.
+    pub fn leave(&mut self, address: SocketAddr, now: Instant) {
+        let Some(target) = self.target(address) else { return };
+        self.targets[target].leaving.leave(now);
     }
 
     /// The connections to a target.
@@ -100,32 +176,34 @@
         self.targets.get(key).map(|target| target.pool.clone())
     }
 
-    fn choose(&mut self, policy: Policy, candidates: &[TargetKey]) -> Option<TargetKey> {
-        if candidates.is_empty() {
-            return None;
-        }
-        let any = |random: &mut SmallRng| candidates[random.random_range(0..candidates.len())];
-        match policy {
-            Policy::RoundRobin => {
-                self.turn += 1;
-                Some(candidates[self.turn % candidates.len()])
-            }
-            Policy::TwoChoices => {
-                let (one, two) = (any(&mut self.random), any(&mut self.random));
-                let inflight = |key: TargetKey| self.targets[key].inflight;
-                Some(if inflight(two) < inflight(one) { two } else { one })
-            }
-            Policy::LeastLocal => self.least(candidates, |target| target.inflight),
-            Policy::Adaptive => self.least(candidates, |target| {
-                let reported = target.report.map_or(0, |report| report.running + report.queued);
-                target.inflight.max(reported)
-            }),
-        }
+    /// A target's state, for status and tests.
+    pub fn get(&self, key: TargetKey) -> Option<&Target> {
+        self.targets.get(key)
     }
 
-    fn least(&mut self, candidates: &[TargetKey], load: fn(&Target) -> u32) -> Option<TargetKey> {
-        let offset = self.random.random_range(0..candidates.len());
-        let rotated = candidates[offset..].iter().chain(&candidates[..offset]);
-        rotated.copied().min_by_key(|key| load(&self.targets[*key]))
+    /// The retry budget of a workspace.
+    pub fn budget(&mut self, flow: FlowKey) -> &mut Budget {
+        self.budgets.entry(flow).or_default()
+    }
+
+    /// Services with waiting calls.
+    pub(super) fn busy_services(&self) -> Vec<ServiceId> {
+        let busy = self.services.iter().filter(|(_, state)| state.has_waiting());
+        busy.map(|(id, _)| id).collect()
+    }
+
+    /// Assigns the slots of all targets anew.
+    fn assign(&mut self) {
+        let place = self.listed.unwrap_or(Place::from_name(&self.name, self.max_entries));
+        for state in self.services.values() {
+            let slots: Vec<u32> =
+                state.targets.iter().map(|key| self.targets[*key].slots).collect();
+            let long: Vec<u32> = slots.iter().map(|slots| long_slots(*slots)).collect();
+            let cuts = place.cut(&slots).into_iter().zip(place.cut(&long));
+            for (key, (home, long_home)) in state.targets.iter().zip(cuts) {
+                self.targets[*key].home = home;
+                self.targets[*key].long_home = long_home;
+            }
+        }
     }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,15 +1,29 @@
 //! What lives for the process of an entry.
 
+pub mod admission;
+pub mod budget;
+pub mod demand;
+pub mod durations;
 pub mod entry;
 pub mod fleet;
 pub mod follower;
+pub mod grant;
+pub mod health;
 pub mod logging;
 pub mod observe;
+pub mod others;
+pub mod outcome;
 pub mod pool;
+pub mod queue;
 pub mod recorder;
+pub mod routing;
 pub mod runtime;
+pub mod service;
 pub mod settings;
+pub mod share;
+pub mod sign;
 pub mod target;
+pub mod watch;
 
 use eyre::WrapErr;
 
--- a/src/process/target.rs
+++ b/src/process/target.rs
@@ -1,7 +1,12 @@
 //! What an entry knows of one target.
 
+use super::health::Health;
+use super::others::Others;
 use super::pool::Pool;
+use super::queue::FlowKey;
+use super::sign::Leaving;
 use crate::prelude::*;
+use crate::version::class::Length;
 
 slotmap::new_key_type! {
     /// Key of a target in the fleet.
@@ -34,14 +39,62 @@
     }
 }
 
+/// One of the entry's own calls at a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Flight {
+    pub number: u64,
+    pub flow: FlowKey,
+    pub start: Instant,
+    pub length: Length,
+    /// Expected duration.
+    pub expected: Duration,
+    /// Whether the call went beyond the entry's own slots.
+    pub is_spilled: bool,
+}
+
 /// State of one target, kept across versions of the document.
 pub struct Target {
     pub address: SocketAddr,
     pub domain: String,
     pub slots: u32,
+    /// Slots that are this entry's to use first.
+    pub home: u32,
+    /// Slots in which this entry may run long work; all entries' together leave one free.
+    pub long_home: u32,
     /// Own calls under way.
-    pub inflight: u32,
-    pub draining: bool,
-    pub report: Option<LoadReport>,
+    pub flights: Vec<Flight>,
+    pub health: Health,
+    pub leaving: Leaving,
+    pub others: Others,
     pub pool: Rc<Pool>,
 }
+
+impl Target {
+    /// Number of own calls.
+    pub fn own(&self) -> u32 {
+        self.flights.len() as u32
+    }
+
+    /// Number of own long calls.
+    pub fn own_long(&self) -> u32 {
+        self.flights.iter().filter(|flight| flight.length == Length::Long).count() as u32
+    }
+
+    /// Number of own calls beyond the entry's own slots.
+    pub fn spilled(&self) -> u32 {
+        self.own().saturating_sub(self.home)
+    }
+
+    /// Expected number of calls at the target, by all entries.
+    pub fn occupancy(&self, now: Instant, span: Duration) -> f64 {
+        f64::from(self.own()) + self.others.estimate(now, span)
+    }
+
+    /// Whether an own call is overdue by `factor` times its expected duration and `least`.
+    pub fn is_overdue(&self, now: Instant, factor: u32, least: Duration) -> bool {
+        self.flights.iter().any(|flight| {
+            let age = now.saturating_duration_since(flight.start);
+            age > least && age > flight.expected * factor
+        })
+    }
+}
--- /dev/null
+++ b/src/request/attempt.rs
@@ -0,0 +1,112 @@
+//! One attempt of a call.
+
+use super::header;
+use super::matched::Matched;
+use crate::connection::guard::Fault;
+use crate::prelude::*;
+use crate::process::entry::Entry;
+use crate::process::grant::{self, Grant};
+use crate::process::outcome::{Outcome, Signs};
+use crate::process::service::Ask;
+use crate::process::target::{LoadReport, TargetKey};
+
+/// How one attempt ended.
+pub enum Attempt {
+    /// A target answered.
+    Answered(Answer),
+    /// The call was not sent to any target, and further attempts would fare alike.
+    NotSent(Code),
+    /// A target could not be reached, or refused the call without running it.
+    NotRun(Code),
+    /// The call may have run.
+    Unknown(Code),
+}
+
+/// Waits for a target and sends the call to it; the target is added to `tried`.
+pub async fn attempt(
+    entry: &Entry,
+    matched: &Matched,
+    call: &mut Call,
+    tried: &mut Vec<TargetKey>,
+) -> Attempt {
+    let service = entry.fleet.borrow().service(&matched.service().name);
+    let Some(service) = service else { return Attempt::NotSent(Code::NotRunNoTarget) };
+    let ask = Ask {
+        service,
+        flow: matched.flow,
+        weight: f64::from(matched.workspace().weight.max(1)),
+        shape: matched.shape,
+        declared: matched.class().length,
+        deadline: matched.deadline,
+        avoid: tried.clone(),
+    };
+    let grant = match grant::acquire(&entry.fleet, ask).await {
+        Ok(grant) => grant,
+        Err(code) => return Attempt::NotSent(code),
+    };
+    tried.push(grant.target());
+    send(entry, matched, call, grant).await
+}
+
+async fn send(entry: &Entry, matched: &Matched, call: &mut Call, grant: Grant) -> Attempt {
+    let Some(pool) = entry.fleet.borrow().pool(grant.target()) else {
+        return Attempt::NotSent(Code::NotRunNoTarget);
+    };
+    let left = matched.deadline.left(Instant::now());
+    let mut lease = match monoio::time::timeout(left, pool.take()).await {
+        Ok(Ok(lease)) => lease,
+        Ok(Err(_)) => {
+            grant.end(Outcome::Failed(Signs::default()));
+            return Attempt::NotRun(Code::NotRunConnect);
+        }
+        Err(_) => {
+            grant.end(Outcome::Expired);
+            return Attempt::NotSent(Code::NotRunDeadline);
+        }
+    };
+    let left = matched.deadline.left(Instant::now());
+    call.set(header::DEADLINE, &left.as_millis().to_string());
+    let is_reused = lease.is_reused();
+    let result = monoio::time::timeout(left, lease.connection().exchange(call)).await;
+    // The connection goes back to its pool before the place at the target is free, so that the
+    // next call finds it.
+    drop(lease);
+    match result {
+        Err(_) => {
+            grant.end(Outcome::Expired);
+            Attempt::Unknown(Code::UnknownDeadline)
+        }
+        Ok(Err(fault)) => {
+            // The target closed an idle connection, so the other idle ones are probably closed.
+            if is_reused {
+                pool.clear();
+            }
+            grant.end(Outcome::Failed(Signs::default()));
+            Attempt::Unknown(match fault {
+                Fault::Closed => Code::UnknownConnection,
+                _ => Code::UnknownAnswer,
+            })
+        }
+        Ok(Ok(answer)) => judge(answer, grant),
+    }
+}
+
+fn judge(answer: Answer, grant: Grant) -> Attempt {
+    let signs = Signs {
+        report: answer.header(header::LOAD).and_then(LoadReport::parse),
+        draining: answer.header(header::DRAINING) == Some("1")
+            || answer.header(header::REFUSED) == Some("draining"),
+        timed: answer.status.is_success(),
+    };
+    let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE
+        && answer.header(header::REFUSED).is_some();
+    if is_refused {
+        grant.end(Outcome::Refused(signs));
+        return Attempt::NotRun(Code::NotRunRefused);
+    }
+    grant.end(match answer.status.is_server_error() {
+        true => Outcome::Failed(signs),
+        false => Outcome::Answered(signs),
+    });
+    Attempt::Answered(answer)
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,7 +1,10 @@
 //! What lives for one request.
 
 pub mod answer;
+pub mod attempt;
 pub mod call;
 pub mod deadline;
 pub mod dispatch;
 pub mod header;
+pub mod matched;
+pub mod retry;
--- /dev/null
+++ b/src/request/retry.rs
@@ -0,0 +1,102 @@
+//! The attempts of a call.
+
+use rand::Rng;
+
+use super::attempt::{attempt, Attempt};
+use super::header;
+use super::matched::Matched;
+use crate::prelude::*;
+use crate::process::entry::Entry;
+
+/// Most attempts of one call.
+const MAX_ATTEMPTS: u32 = 3;
+/// Longest mean pause before the first retry.
+const MAX_PAUSE: Duration = Duration::from_millis(50);
+/// Shortest range of the pause before the first retry.
+const MIN_PAUSE: Duration = Duration::from_millis(2);
+
+/// What the caller is told if no further attempt is made.
+struct Last {
+    answer: Answer,
+    /// An earlier attempt may have run, so that the outcome is not "not run".
+    unknown: Option<Code>,
+}
+
+impl Last {
+    fn new() -> Self {
+        Self { answer: Answer::own(Code::NotRunNoTarget), unknown: None }
+    }
+
+    fn fail(&mut self, code: Code) {
+        if code.is_unknown() {
+            self.unknown = Some(code);
+        }
+        self.answer = Answer::own(self.unknown.unwrap_or(code));
+    }
+}
+
+/// Makes attempts until one answers or no further one is allowed.
+pub async fn run(entry: &Entry, matched: &Matched, mut call: Call) -> Answer {
+    call.set(header::CALL_ID, &entry.next_call_id());
+    call.set(header::CLASS, &matched.class().name);
+    entry.fleet.borrow_mut().budget(matched.flow).earn(matched.workspace().retry_percent);
+    let (mut tried, mut last) = (Vec::new(), Last::new());
+    let mut number = matched.attempt;
+    loop {
+        call.set(header::ATTEMPT, &number.to_string());
+        let code = match attempt(entry, matched, &mut call, &mut tried).await {
+            Attempt::Answered(mut answer) => {
+                answer.set(header::CODE, &Code::Answered.number().to_string());
+                answer.set(header::ATTEMPT, &number.to_string());
+                if !matched.class().idempotent || !is_transient(answer.status) {
+                    return answer;
+                }
+                last.answer = answer;
+                None
+            }
+            // A refusal of the entry's own does not hide what an earlier attempt has shown.
+            Attempt::NotSent(_) if number > matched.attempt => return last.answer,
+            Attempt::NotSent(code) => return Answer::own(code),
+            Attempt::Unknown(code) => {
+                last.fail(code);
+                if !matched.class().idempotent {
+                    return last.answer;
+                }
+                Some(code)
+            }
+            Attempt::NotRun(code) => {
+                last.fail(code);
+                Some(code)
+            }
+        };
+        let pause = jitter(number);
+        if number >= MAX_ATTEMPTS || matched.attempt > 1 || pause >= left(matched) {
+            return last.answer;
+        }
+        if !entry.fleet.borrow_mut().budget(matched.flow).spend() {
+            entry.metrics.count("cornellink_retries_refused_total");
+            if code.is_some_and(Code::is_not_run) {
+                last.fail(Code::NotRunBudget);
+            }
+            return last.answer;
+        }
+        entry.metrics.count("cornellink_retries_total");
+        monoio::time::sleep(pause).await;
+        number += 1;
+    }
+}
+
+/// Statuses that another target may not repeat.
+fn is_transient(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 500 | 502..=504)
+}
+
+fn left(matched: &Matched) -> Duration {
+    matched.deadline.left(Instant::now())
+}
+
+/// A pause anywhere between nothing and a bound that doubles with each attempt.
+fn jitter(number: u32) -> Duration {
+    let bound = (MIN_PAUSE * 2u32.saturating_pow(number)).min(MAX_PAUSE);
+    bound.mul_f64(rand::rng().random())
+}
