--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -101,7 +101,10 @@
                 admin,
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
+                retention_ms: RETENTION.as_millis() as u64,
                 log: "warn".into(),
+                callers: Default::default(),
+                shutdown: Default::default(),
             };
             let log: Rc<dyn Log> = Rc::new(HttpLog::new(platform, LOG_TIMEOUT));
             let entry = Rc::new(Entry::new(settings));
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,25 +1,26 @@
 //! The entry: its state and its listeners.
 
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpListener;
 
+use super::callers::Callers;
+use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
 use super::grant;
 use super::observe::Metrics;
 use super::recorder::Recorder;
 use super::settings::Settings;
+use super::shutdown::{Shutdown, Signals};
 use super::watch;
 use super::Result;
-use crate::connection::caller::CallerConnection;
-use crate::connection::guard::Fault;
-use crate::connection::limits::Limits;
 use crate::connection::server;
+use crate::connection::tasks::Tasks;
 use crate::platform::http_log::HttpLog;
 use crate::platform::http_vms::HttpVms;
 use crate::platform::log::Log;
 use crate::platform::vms::Vms;
 use crate::prelude::*;
-use crate::request::dispatch;
+use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
@@ -30,9 +31,11 @@
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
+    pub configuration: Configuration,
     pub fleet: Rc<RefCell<Fleet>>,
     pub metrics: Metrics,
     pub recorder: Recorder,
+    pub shutdown: Shutdown,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -43,9 +46,11 @@
         let fleet = Fleet::new(&settings.name, &settings.domain);
         Self {
             settings,
+            configuration: Configuration::default(),
             fleet: Rc::new(RefCell::new(fleet)),
             metrics: Metrics::default(),
             recorder: Recorder::default(),
+            shutdown: Shutdown::default(),
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -64,6 +69,11 @@
         self.revision.replace(revision);
     }
 
+    /// Whether the entry takes new callers.
+    pub fn is_ready(&self) -> bool {
+        self.revision.borrow().is_some() && !self.shutdown.is_requested()
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -71,15 +81,25 @@
     }
 }
 
-/// Serves callers until the process ends.
+/// Serves callers until a signal asks for the end.
 pub async fn serve(settings: Settings) -> Result<()> {
+    let signals = Signals::catch()?;
     let listener = server::bind(settings.listen)?;
     let admin = server::bind(settings.admin)?;
     let log: Rc<dyn Log> = Rc::new(HttpLog::new(settings.platform, APPEND_TIMEOUT));
-    run(Rc::new(Entry::new(settings)), listener, admin, log).await
+    let entry = Rc::new(Entry::new(settings));
+    let state = entry.clone();
+    let waiter = Tasks::default();
+    waiter.spawn(async move {
+        signals.received().await;
+        state.shutdown.request();
+    });
+    let result = run(entry, listener, admin, log).await;
+    waiter.join().await;
+    result
 }
 
-/// Serves on listeners that are bound already.
+/// Serves on listeners that are bound already, until a shutdown is requested and complete.
 pub async fn run(
     entry: Rc<Entry>,
     listener: TcpListener,
@@ -87,53 +107,29 @@
     log: Rc<dyn Log>,
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
-    monoio::spawn(follower::follow(entry.clone(), log));
-    monoio::spawn(grant::serve_queues(entry.fleet.clone()));
+    let background = Tasks::default();
+    background.spawn(follower::follow(entry.clone(), log));
+    background.spawn(grant::serve_queues(entry.fleet.clone()));
     let vms: Rc<dyn Vms> = Rc::new(HttpVms::new(entry.settings.platform, VMS_TIMEOUT));
-    monoio::spawn(watch::watch(entry.clone(), vms));
+    background.spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
-    monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        monoio::spawn(serve_caller(entry.clone(), stream));
-    }
-}
-
-async fn serve_caller(entry: Rc<Entry>, stream: TcpStream) {
-    let mut connection = CallerConnection::new(stream, Limits::default());
-    loop {
-        let call = match connection.next().await {
-            Ok(call) => call,
-            Err(fault) => return refuse(connection, fault).await,
-        };
-        let answer = monoio::select! {
-            answer = dispatch::dispatch(&entry, call) => answer,
-            () = connection.closed() => return,
-        };
-        if connection.answer(answer).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn refuse(mut connection: CallerConnection, fault: Fault) {
-    let code = match fault {
-        Fault::Closed => return,
-        Fault::Truncated => Code::MalformedTruncated,
-        Fault::HeadTooLarge => Code::MalformedHead,
-        Fault::TooSlow => Code::MalformedSlow,
-        Fault::Framing => Code::MalformedFraming,
-        Fault::BodyTooLarge => Code::MalformedBody,
-    };
-    connection.close_after_answer();
-    let _ = connection.answer(Answer::own(code)).await;
+    background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
+    Callers::new(entry.clone(), listener).serve().await;
+    background.stop();
+    background.join().await;
+    log::info!(name = entry.settings.name.as_str(); "entry stopped");
+    Ok(())
 }
 
 async fn handle_admin(entry: Rc<Entry>, call: Call) -> Answer {
     match call.uri.path() {
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
-        "/ready" if entry.revision().is_some() => Answer::new(StatusCode::OK, "ready"),
+        "/ready" if entry.is_ready() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
+        "/revision" => match entry.configuration.base() {
+            Some(base) => Answer::new(StatusCode::OK, ConfigRecord::Renew(base).encode()),
+            None => Answer::own(Code::NotReady),
+        },
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
         "/trace" if call.method == Method::POST => start_recording(&entry, &call),
         "/trace" => Answer::new(StatusCode::OK, entry.recorder.trace()),
@@ -157,6 +153,8 @@
         "name": settings.name,
         "domain": settings.domain,
         "revision": revision,
+        "ready": revision.is_some(),
+        "configuration": entry.configuration.status(),
     });
     status.to_string()
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod admission;
 pub mod budget;
+pub mod caller_settings;
+pub mod callers;
+pub mod configuration;
 pub mod demand;
 pub mod durations;
 pub mod entry;
@@ -21,6 +24,7 @@
 pub mod service;
 pub mod settings;
 pub mod share;
+pub mod shutdown;
 pub mod sign;
 pub mod target;
 pub mod watch;
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -54,9 +54,8 @@
 
     /// Takes an idle connection, one that another call returns, or a new one.
     pub async fn take(self: &Rc<Self>) -> super::Result<Lease> {
-        let idle = self.idle.borrow_mut().pop();
-        if let Some(connection) = idle {
-            return Ok(Lease { pool: self.clone(), connection: Some(connection), is_reused: true });
+        if let Some(connection) = self.take_idle() {
+            return Ok(Lease { pool: self.clone(), connection: Some(connection) });
         }
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().push_back(sender);
@@ -64,13 +63,19 @@
         let mut receiver = Receiver { pool: self.clone(), receiver };
         let closed = || Error::Connection { reason: "the pool is closed".into() };
         let connection = (&mut receiver.receiver).await.unwrap_or_else(|_| Err(closed()))?;
-        Ok(Lease { pool: self.clone(), connection: Some(connection), is_reused: false })
+        Ok(Lease { pool: self.clone(), connection: Some(connection) })
     }
 
-    /// Closes the idle connections, for example when one was found closed by the target.
-    pub fn clear(&self) {
-        let idle = self.idle.take();
-        self.open.set(self.open.get() - idle.len() as u32);
+    /// Takes an idle connection, dropping those that the target has closed.
+    fn take_idle(&self) -> Option<TargetConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if connection.is_open() {
+                return Some(connection);
+            }
+            self.open.set(self.open.get() - 1);
+        }
+        None
     }
 
     /// Opens connections for waiting calls, within the limits.
@@ -147,7 +152,6 @@
 pub struct Lease {
     pool: Rc<Pool>,
     connection: Option<TargetConnection>,
-    is_reused: bool,
 }
 
 impl Lease {
@@ -155,11 +159,6 @@
     pub fn connection(&mut self) -> &mut TargetConnection {
         self.connection.as_mut().expect("a lease is given out with a connection")
     }
-
-    /// Whether the connection was idle before, so that the target may have closed it.
-    pub fn is_reused(&self) -> bool {
-        self.is_reused
-    }
 }
 
 impl Drop for Lease {
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -2,12 +2,21 @@
 
 use serde::Deserialize;
 
+use super::caller_settings::CallerSettings;
+use super::shutdown::ShutdownSettings;
 use super::Result;
 use crate::prelude::*;
+use crate::version::check;
+use crate::version::check::part::Part;
+use crate::version::check::problem::Report;
+use crate::version::check::schema::{Field, Kind, Schema};
 
-/// What an entry learns from its settings file.
+/// Longest retention of the log that can be stated, 90 days in milliseconds.
+const MAX_RETENTION_MS: u64 = 90 * 24 * 3600 * 1000;
+
+/// What an entry learns from its settings file; each field has a row in `SCHEMA`.
 #[derive(Clone, Debug, Deserialize)]
-#[serde(rename_all = "camelCase", deny_unknown_fields)]
+#[serde(rename_all = "camelCase")]
 pub struct Settings {
     /// Name of the entry, unique in its environment.
     pub name: String,
@@ -19,29 +28,82 @@
     pub domain: String,
     /// Address of the platform's log and list of VMs.
     pub platform: SocketAddr,
+    /// How long the platform's log keeps a record, in milliseconds.
+    pub retention_ms: u64,
     /// Log filter.
-    #[serde(default = "default_log")]
     pub log: String,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub callers: CallerSettings,
+    /// Times of a shutdown.
+    #[serde(default)]
+    pub shutdown: ShutdownSettings,
 }
 
-fn default_log() -> String {
-    "info".into()
-}
+/// The fields of a settings file, with their defaults.
+pub const SCHEMA: Schema = Schema {
+    fields: &[
+        Field::required("name", Kind::Name),
+        Field::required("listen", Kind::Listen),
+        Field::required("admin", Kind::Listen),
+        Field::required("domain", Kind::Name),
+        Field::required("platform", Kind::Address),
+        // One day; a value above the log's own lets the document expire.
+        Field::default(
+            "retentionMs",
+            Kind::Integer { min: 500, max: MAX_RETENTION_MS },
+            "86400000",
+        ),
+        Field::default("log", Kind::Text { max: 256 }, "\"info\""),
+        Field::optional("callers", Kind::Object(&CALLERS)),
+        Field::optional("shutdown", Kind::Object(&SHUTDOWN)),
+    ],
+};
+
+/// Longest time that can be stated, one hour in milliseconds.
+const MAX_TIME_MS: u64 = 3_600_000;
+/// Largest body that can be allowed, in bytes.
+const MAX_BODY: u64 = 64 * 1024 * 1024;
+/// Most connections that can be allowed.
+const MAX_CONNECTIONS: u64 = 60_000;
+const TIME: Kind = Kind::Integer { min: 0, max: MAX_TIME_MS };
+
+const CALLERS: Schema = Schema {
+    fields: &[
+        Field::optional("bodyLimit", Kind::Integer { min: 0, max: MAX_BODY }),
+        Field::optional("bodyMs", TIME),
+        Field::optional("headMs", TIME),
+        Field::optional("idleMs", TIME),
+        Field::optional("maxConnections", Kind::Integer { min: 1, max: MAX_CONNECTIONS }),
+        Field::optional("writeMs", TIME),
+    ],
+};
+
+const SHUTDOWN: Schema =
+    Schema { fields: &[Field::optional("delayMs", TIME), Field::optional("limitMs", TIME)] };
 
 impl Settings {
-    /// Reads the settings from JSON with comments.
+    /// Reads the settings from a file of JSON with comments.
     pub fn load(path: &str) -> Result<Self> {
         let text = std::fs::read_to_string(path)
             .map_err(|source| Error::File { path: path.into(), source })?;
         Self::parse(&text)
     }
 
-    /// Parses settings.
+    /// Parses and checks settings.
     pub fn parse(text: &str) -> Result<Self> {
-        let problem = |text: String| Error::Document { problems: vec![text] };
-        let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
-            .map_err(|error| problem(error.to_string()))?
-            .ok_or_else(|| problem("the settings are empty".into()))?;
-        serde_json::from_value(value).map_err(|error| problem(error.to_string()))
+        check::read(text, &SCHEMA, check_addresses)
+    }
+
+    /// How long the platform's log keeps a record.
+    pub fn retention(&self) -> Duration {
+        Duration::from_millis(self.retention_ms)
+    }
+}
+
+fn check_addresses(root: &Part, report: &mut Report) {
+    let listen = root.text("listen");
+    if listen.is_some_and(|listen| !listen.ends_with(":0")) && listen == root.text("admin") {
+        report.add("admin", "expected another address than `listen`".into());
     }
 }
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -2,7 +2,8 @@
 
 use super::header;
 use super::matched::Matched;
-use crate::connection::guard::Fault;
+use crate::connection::fault::{Fault, Lost};
+use crate::connection::forward::clean_answer;
 use crate::prelude::*;
 use crate::process::entry::Entry;
 use crate::process::grant::{self, Grant};
@@ -66,32 +67,32 @@
     };
     let left = matched.deadline.left(Instant::now());
     call.set(header::DEADLINE, &left.as_millis().to_string());
-    let is_reused = lease.is_reused();
     let result = monoio::time::timeout(left, lease.connection().exchange(call)).await;
+    let has_sent = lease.connection().has_sent();
     // The connection goes back to its pool before the place at the target is free, so that the
     // next call finds it.
     drop(lease);
     match result {
         Err(_) => {
             grant.end(Outcome::Expired);
-            Attempt::Unknown(Code::UnknownDeadline)
-        }
-        Ok(Err(fault)) => {
-            // The target closed an idle connection, so the other idle ones are probably closed.
-            if is_reused {
-                pool.clear();
+            match has_sent {
+                true => Attempt::Unknown(Code::UnknownDeadline),
+                false => Attempt::NotSent(Code::NotRunDeadline),
             }
+        }
+        Ok(Err(lost)) => {
             grant.end(Outcome::Failed(Signs::default()));
-            Attempt::Unknown(match fault {
-                Fault::Closed => Code::UnknownConnection,
-                _ => Code::UnknownAnswer,
-            })
+            match lost {
+                Lost { sent: false, .. } => Attempt::NotRun(Code::NotRunConnect),
+                Lost { fault: Fault::Closed, .. } => Attempt::Unknown(Code::UnknownConnection),
+                Lost { .. } => Attempt::Unknown(Code::UnknownAnswer),
+            }
         }
         Ok(Ok(answer)) => judge(answer, grant),
     }
 }
 
-fn judge(answer: Answer, grant: Grant) -> Attempt {
+fn judge(mut answer: Answer, grant: Grant) -> Attempt {
     let signs = Signs {
         report: answer.header(header::LOAD).and_then(LoadReport::parse),
         draining: answer.header(header::DRAINING) == Some("1")
@@ -108,5 +109,6 @@
         true => Outcome::Failed(signs),
         false => Outcome::Answered(signs),
     });
+    clean_answer(&mut answer.headers);
     Attempt::Answered(answer)
 }
