Report why a call was not run even when its retry budget is spent

Cause: a booking that its target refused got code 208 instead of 204 when the budget allowed no retry, which hid the reason. Code 208 is removed; cornellink_retries_refused_total counts the refused retries. Before: tests/not_run.rs failed with 208; after: all tests pass.

--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -44,7 +44,7 @@
     let mut number = matched.attempt;
     loop {
         call.set(header::ATTEMPT, &number.to_string());
-        let code = match attempt(entry, matched, &mut call, &mut tried).await {
+        match attempt(entry, matched, &mut call, &mut tried).await {
             Attempt::Answered(mut answer) => {
                 answer.set(header::CODE, &Code::Answered.number().to_string());
                 answer.set(header::ATTEMPT, &number.to_string());
@@ -52,7 +52,6 @@
                     return answer;
                 }
                 last.answer = answer;
-                None
             }
             // A refusal of the entry's own does not hide what an earlier attempt has shown.
             Attempt::NotSent(_) if number > matched.attempt => return last.answer,
@@ -62,22 +61,15 @@
                 if !matched.class().idempotent {
                     return last.answer;
                 }
-                Some(code)
             }
-            Attempt::NotRun(code) => {
-                last.fail(code);
-                Some(code)
-            }
-        };
+            Attempt::NotRun(code) => last.fail(code),
+        }
         let pause = jitter(number);
         if number >= MAX_ATTEMPTS || matched.attempt > 1 || pause >= left(matched) {
             return last.answer;
         }
         if !entry.fleet.borrow_mut().budget(matched.flow).spend() {
             entry.metrics.count("cornellink_retries_refused_total");
-            if code.is_some_and(Code::is_not_run) {
-                last.fail(Code::NotRunBudget);
-            }
             return last.answer;
         }
         entry.metrics.count("cornellink_retries_total");
