Do not count refused idempotency keys as not run

Cause: codes 404 and 405 counted as 'not run', although the first call with the key may run or have run.

--- a/src/code.rs
+++ b/src/code.rs
@@ -104,8 +104,11 @@
     }
 
     /// Whether the code promises that the call was not run.
+    ///
+    /// A refusal because of an idempotency key (404 to 406) makes no such promise: an earlier call
+    /// with the key may have run.
     pub fn is_not_run(self) -> bool {
-        matches!(self.number(), 200..=299 | 400..=699)
+        matches!(self.number(), 200..=299 | 401..=403 | 500..=699)
     }
 
     /// Whether the call may have run without a confirmed outcome.
