--- a/src/code.rs
+++ b/src/code.rs
@@ -90,6 +90,8 @@
     NotReady = 600, SERVICE_UNAVAILABLE, "not ready";
     /// The entry has as many connections from callers as its settings allow.
     NotReadyConnections = 601, SERVICE_UNAVAILABLE, "not ready: too many connections";
+    /// The calls that the entry is reading occupy as much memory as its settings allow.
+    NotReadyMemory = 602, SERVICE_UNAVAILABLE, "not ready: too much in memory";
 }
 
 impl Code {
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -8,6 +8,7 @@
 use super::framing::{request_framing, Framing};
 use super::guard::Guard;
 use super::limits::Limits;
+use super::memory::Memory;
 use super::Result;
 use crate::prelude::*;
 
@@ -31,6 +32,12 @@
         Self { guard: Guard::new(stream), limits, reusable: true, head_only: false }
     }
 
+    /// Counts what the caller sends in `memory`, which also bounds it.
+    pub fn count_in(mut self, memory: Rc<Memory>) -> Self {
+        self.guard.count_in(memory);
+        self
+    }
+
     /// Waits for the first byte of the next call; no byte is lost when the wait is dropped.
     pub async fn idle(&mut self) -> std::result::Result<(), Fault> {
         if !self.reusable {
@@ -91,7 +98,9 @@
             self.guard.write(head).await?;
             self.guard.write(body).await
         };
-        match monoio::time::timeout(self.limits.write_time, write).await {
+        let result = monoio::time::timeout(self.limits.write_time, write).await;
+        self.guard.release();
+        match result {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => Err(Error::Connection { reason: error.to_string() }),
             Err(_) => Err(Error::Connection { reason: "the caller reads too slowly".into() }),
--- a/src/connection/fault.rs
+++ b/src/connection/fault.rs
@@ -11,6 +11,8 @@
     Framing,
     /// The head is too large.
     HeadTooLarge,
+    /// All callers together send more than the entry may buffer.
+    NoMemory,
     /// The head or the body came too slowly.
     TooSlow,
     /// The connection broke within a message.
--- a/src/connection/guard.rs
+++ b/src/connection/guard.rs
@@ -13,6 +13,7 @@
 use super::fault::Fault;
 use super::framing::Framing;
 use super::limits::Limits;
+use super::memory::Memory;
 use crate::prelude::*;
 
 /// Size of one read from the socket in bytes.
@@ -31,14 +32,35 @@
 pub struct Guard {
     io: TcpStream,
     buffer: BytesMut,
+    memory: Option<Rc<Memory>>,
+    /// Bytes counted in `memory`.
+    held: usize,
     sent: bool,
 }
 
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.release();
+    }
+}
+
 impl Guard {
     /// Wraps a stream.
     pub fn new(io: TcpStream) -> Self {
         let _ = io.set_nodelay(true);
-        Self { io, buffer: BytesMut::new(), sent: false }
+        Self { io, buffer: BytesMut::new(), memory: None, held: 0, sent: false }
+    }
+
+    /// Counts what is read from now on in `memory`, which also bounds it.
+    pub fn count_in(&mut self, memory: Rc<Memory>) {
+        self.memory = Some(memory);
+    }
+
+    /// Ends the count of what has been read for a message.
+    pub fn release(&mut self) {
+        if let Some(memory) = &self.memory {
+            memory.release(std::mem::take(&mut self.held));
+        }
     }
 
     /// Number of bytes of a next message that have been read already.
@@ -90,6 +112,7 @@
                 self.buffer = BytesMut::with_capacity(count);
             }
             self.buffer.extend_from_slice(&scratch[..count]);
+            self.hold(count);
         }
         SCRATCH.set(scratch);
         result
@@ -190,9 +213,19 @@
     async fn fill_message(&mut self) -> Result<()> {
         match self.fill().await {
             Ok(0) | Err(_) => Err(Fault::Truncated),
+            Ok(_) if self.memory.as_ref().is_some_and(|memory| memory.is_over(self.held)) => {
+                Err(Fault::NoMemory)
+            }
             Ok(_) => Ok(()),
         }
     }
+
+    fn hold(&mut self, count: usize) {
+        if let Some(memory) = &self.memory {
+            memory.add(count);
+            self.held += count;
+        }
+    }
 }
 
 fn find_head(buffer: &[u8], start: usize) -> Option<usize> {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -10,6 +10,7 @@
 pub mod framing;
 pub mod guard;
 pub mod limits;
+pub mod memory;
 pub mod server;
 pub mod target;
 pub mod tasks;
--- a/src/process/caller_settings.rs
+++ b/src/process/caller_settings.rs
@@ -19,6 +19,8 @@
     pub idle_ms: u64,
     /// Most connections from callers.
     pub max_connections: usize,
+    /// Bytes that all calls together may occupy; a call of up to 64 KiB is read all the same.
+    pub memory_limit: usize,
     /// Time for a caller to take an answer in milliseconds.
     pub write_ms: u64,
 }
@@ -32,6 +34,7 @@
             head_ms: limits.head_time.as_millis() as u64,
             idle_ms: limits.idle_time.as_millis() as u64,
             max_connections: 4000,
+            memory_limit: 128 * 1024 * 1024,
             write_ms: limits.write_time.as_millis() as u64,
         }
     }
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -7,6 +7,7 @@
 use crate::connection::fault::Fault;
 use crate::connection::forward::clean_call;
 use crate::connection::limits::Limits;
+use crate::connection::memory::Memory;
 use crate::connection::tasks::Tasks;
 use crate::prelude::*;
 use crate::request::dispatch;
@@ -23,6 +24,7 @@
     entry: Rc<Entry>,
     limits: Limits,
     listener: TcpListener,
+    memory: Rc<Memory>,
     open: Rc<Cell<usize>>,
     tasks: Tasks,
 }
@@ -31,7 +33,8 @@
     /// Creates the state for a bound listener.
     pub fn new(entry: Rc<Entry>, listener: TcpListener) -> Self {
         let limits = Limits::from(&entry.settings.callers);
-        Self { entry, limits, listener, open: Rc::default(), tasks: Tasks::default() }
+        let memory = Rc::new(Memory::new(entry.settings.callers.memory_limit));
+        Self { entry, limits, listener, memory, open: Rc::default(), tasks: Tasks::default() }
     }
 
     /// Serves until a requested shutdown is complete.
@@ -89,6 +92,7 @@
         }
         let place = Place::new(self.open.clone());
         let connection = CallerConnection::new(stream, self.limits);
+        let connection = connection.count_in(self.memory.clone());
         let entry = self.entry.clone();
         self.tasks.spawn(async move {
             let _place = place;
@@ -171,6 +175,7 @@
         Fault::Closed => None,
         Fault::Framing => Some(Code::MalformedFraming),
         Fault::HeadTooLarge => Some(Code::MalformedHead),
+        Fault::NoMemory => Some(Code::NotReadyMemory),
         Fault::TooSlow => Some(Code::MalformedSlow),
         Fault::Truncated => Some(Code::MalformedTruncated),
     }
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -68,6 +68,9 @@
 const MAX_CONNECTIONS: u64 = 60_000;
 const TIME: Kind = Kind::Integer { min: 0, max: MAX_TIME_MS };
 
+/// Most memory for calls that can be stated, 1 TiB.
+const MAX_MEMORY: u64 = 1 << 40;
+
 const CALLERS: Schema = Schema {
     fields: &[
         Field::optional("bodyLimit", Kind::Integer { min: 0, max: MAX_BODY }),
@@ -75,6 +78,7 @@
         Field::optional("headMs", TIME),
         Field::optional("idleMs", TIME),
         Field::optional("maxConnections", Kind::Integer { min: 1, max: MAX_CONNECTIONS }),
+        Field::optional("memoryLimit", Kind::Integer { min: 0, max: MAX_MEMORY }),
         Field::optional("writeMs", TIME),
     ],
 };
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -158,3 +158,36 @@
     drop(kept);
     wait_for(|| code(&mut RawClient::connect(entry.listen)).as_deref() == Some("100"));
 }
+
+/// Guards against callers whose unfinished bodies together exhaust the memory of the entry, and
+/// against memory that stays counted after its calls.
+#[test]
+fn bodies_of_all_callers_are_bounded() {
+    let (_targets, addresses) = host_targets(1, 1, Duration::ZERO).unwrap();
+    let published = Published::new(&addresses);
+    let settings = serde_json::json!({ "callers": { "memoryLimit": 300_000 } });
+    let entry = published.entry("memory", settings);
+    let head = CALL.replace("GET", "POST");
+    let code = |answer: Option<(String, Vec<u8>)>| {
+        answer.and_then(|(head, _)| field(&head, "cornellink-code").map(str::to_owned))
+    };
+    let upload = |bytes: usize| {
+        let mut client = RawClient::connect(entry.listen);
+        client.send(format!("{head}content-length: 200000\r\n\r\n").as_bytes());
+        client.send(&vec![b'x'; bytes]);
+        client
+    };
+
+    let mut kept = upload(199_999);
+    let mut refused = upload(199_999);
+    let refused = code(refused.answer(false));
+    let mut small = RawClient::connect(entry.listen);
+    small.send(format!("{CALL}\r\n").as_bytes());
+    let small = code(small.answer(false));
+    kept.send(b"x");
+
+    assert_eq!(refused.as_deref(), Some("602"));
+    assert_eq!(small.as_deref(), Some("100"));
+    assert_eq!(code(kept.answer(false)).as_deref(), Some("100"));
+    wait_for(|| code(upload(200_000).answer(false)).as_deref() == Some("100"));
+}
