--- a/src/code.rs
+++ b/src/code.rs
@@ -56,8 +56,6 @@
     NotRunClaim = 206, SERVICE_UNAVAILABLE, "not run: claim not possible";
     /// The caller left before the call was sent.
     NotRunCancelled = 207, SERVICE_UNAVAILABLE, "not run: cancelled";
-    /// The call was not run, and its workspace's retry budget allows no further attempt.
-    NotRunBudget = 208, SERVICE_UNAVAILABLE, "not run: retry budget";
     /// The connection to the target was lost after the call was sent. The call may have run.
     UnknownConnection = 301, BAD_GATEWAY, "outcome unknown: connection lost";
     /// The deadline passed after the call was sent. The call may have run.
--- a/src/process/routing.rs
+++ b/src/process/routing.rs
@@ -118,12 +118,18 @@
         let state = &self.services[ask.service];
         let span = state.durations.short();
         let is_idle = is_idle(self, state);
+        let has_long = state.targets.iter().any(|key| self.targets[*key].long_home > 0);
+        let may_long = !has_long && is_idle;
         let may_spill = state.may_spill(spilled(self, state), now);
         let mut best: Option<(f64, TargetKey)> = None;
         for key in keys {
             let target = &self.targets[*key];
             let occupancy = target.occupancy(now, span);
-            if !has_room(target, length, occupancy, is_idle, may_spill) {
+            let has_room = match length {
+                Length::Long => has_long_room(target, occupancy, may_long),
+                Length::Short => has_short_room(target, occupancy, may_spill) || is_idle,
+            };
+            if !has_room {
                 continue;
             }
             let mut score = score(target, occupancy, span.as_secs_f64());
@@ -149,25 +155,21 @@
     state.targets.iter().map(|key| fleet.targets[*key].spilled()).sum()
 }
 
-/// Whether a target may get one more call.
+/// Whether a target may get one more short call.
+fn has_short_room(target: &Target, occupancy: f64, may_spill: bool) -> bool {
+    target.own() < target.home || may_spill && occupancy < f64::from(target.slots)
+}
+
+/// Whether a target may get one more long call.
 ///
-/// Long calls stay within the entry's own long slots, which leaves a slot free on every target. An
-/// entry without any runs one long call at a time, where at least one slot would remain free.
-fn has_room(
-    target: &Target,
-    length: Length,
-    occupancy: f64,
-    is_idle: bool,
-    may_spill: bool,
-) -> bool {
+/// Long calls stay within the entry's own long slots, which leaves a slot free on every target.
+/// With `may_long`, an entry that has none runs one where at least one slot would remain free.
+fn has_long_room(target: &Target, occupancy: f64, may_long: bool) -> bool {
     let slots = f64::from(target.slots);
-    match length {
-        Length::Long if target.long_home > 0 => {
-            target.own_long() < target.long_home && occupancy < slots
-        }
-        Length::Long => is_idle && occupancy + 2.0 <= slots,
-        Length::Short => target.own() < target.home || may_spill && occupancy < slots || is_idle,
+    if may_long {
+        return occupancy + 2.0 <= slots;
     }
+    target.own_long() < target.long_home && occupancy < slots
 }
 
 /// Expected time of a call, in seconds, with penalties.
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -18,20 +18,25 @@
 /// What the caller is told if no further attempt is made.
 struct Last {
     answer: Answer,
-    /// An earlier attempt may have run, so that the outcome is not "not run".
-    unknown: Option<Code>,
+    /// An attempt has run or may have run, so that the outcome is no longer "not run".
+    has_run: bool,
 }
 
 impl Last {
     fn new() -> Self {
-        Self { answer: Answer::own(Code::NotRunNoTarget), unknown: None }
+        Self { answer: Answer::own(Code::NotRunNoTarget), has_run: false }
+    }
+
+    fn answered(&mut self, answer: Answer) {
+        self.answer = answer;
+        self.has_run = true;
     }
 
     fn fail(&mut self, code: Code) {
-        if code.is_unknown() {
-            self.unknown = Some(code);
+        if code.is_unknown() || !self.has_run {
+            self.answer = Answer::own(code);
         }
-        self.answer = Answer::own(self.unknown.unwrap_or(code));
+        self.has_run |= code.is_unknown();
     }
 }
 
@@ -44,15 +49,14 @@
     let mut number = matched.attempt;
     loop {
         call.set(header::ATTEMPT, &number.to_string());
-        let code = match attempt(entry, matched, &mut call, &mut tried).await {
+        match attempt(entry, matched, &mut call, &mut tried).await {
             Attempt::Answered(mut answer) => {
                 answer.set(header::CODE, &Code::Answered.number().to_string());
                 answer.set(header::ATTEMPT, &number.to_string());
                 if !matched.class().idempotent || !is_transient(answer.status) {
                     return answer;
                 }
-                last.answer = answer;
-                None
+                last.answered(answer);
             }
             // A refusal of the entry's own does not hide what an earlier attempt has shown.
             Attempt::NotSent(_) if number > matched.attempt => return last.answer,
@@ -62,22 +66,15 @@
                 if !matched.class().idempotent {
                     return last.answer;
                 }
-                Some(code)
-            }
-            Attempt::NotRun(code) => {
-                last.fail(code);
-                Some(code)
             }
-        };
+            Attempt::NotRun(code) => last.fail(code),
+        }
         let pause = jitter(number);
         if number >= MAX_ATTEMPTS || matched.attempt > 1 || pause >= left(matched) {
             return last.answer;
         }
         if !entry.fleet.borrow_mut().budget(matched.flow).spend() {
             entry.metrics.count("cornellink_retries_refused_total");
-            if code.is_some_and(Code::is_not_run) {
-                last.fail(Code::NotRunBudget);
-            }
             return last.answer;
         }
         entry.metrics.count("cornellink_retries_total");
--- /dev/null
+++ b/tests/budget.rs
@@ -0,0 +1,58 @@
+//! The retry budget.
+
+mod fixture;
+
+use cornellink::code::Code;
+use cornellink::process::budget::Budget;
+use fixture::raw::{field, RawClient, RawServer, Then};
+use fixture::served::Published;
+use quickcheck::{Gen, QuickCheck};
+
+/// Guards against retries beyond the stated part of first attempts, at any time.
+#[test]
+fn retries_stay_within_their_part() {
+    fn property(steps: Vec<bool>, percent: u8) -> bool {
+        let percent = f64::from(percent % 101);
+        let (mut budget, mut first, mut retries) = (Budget::default(), 0u32, 0u32);
+        steps.into_iter().all(|is_retry| {
+            if is_retry {
+                retries += u32::from(budget.spend());
+            } else {
+                first += 1;
+                budget.earn(percent);
+            }
+            f64::from(retries) <= f64::from(first) * percent / 100.0 + 1e-9
+        })
+    }
+    let generator = Gen::from_size_and_seed(300, 3);
+    QuickCheck::new().rng(generator).tests(300).quickcheck(property as fn(Vec<bool>, u8) -> bool);
+}
+
+fn call(entry: std::net::SocketAddr, method: &str, fields: &str) -> Code {
+    let mut client = RawClient::connect(entry);
+    let head = "HTTP/1.1\r\nhost: x\r\ncornellink-workspace: north\r\nconnection: close\r\n";
+    client.send(format!("{method} /tickets/1 {head}{fields}\r\n").as_bytes());
+    let (head, _) = client.answer(false).expect("every call is answered");
+    let number = field(&head, "cornellink-code").unwrap().parse().unwrap();
+    Code::from_number(number).unwrap()
+}
+
+/// Guards against retries that multiply in a chain of services: a call that says it is a second
+/// attempt gets no further one, and neither does a booking whose outcome is unknown.
+#[test]
+fn second_attempts_and_bookings_are_not_retried() {
+    let target = RawServer::start("", Then::Close);
+    let published = Published::new(&[target.address]);
+    let entry = published.entry("entry-0", serde_json::json!({}));
+    let mut sent = 0;
+    // The first calls earn budget for the ones that follow.
+    for (method, fields, count) in [("POST", "", 30), ("GET", "cornellink-attempt: 2\r\n", 30)] {
+        for _ in 0..count {
+            let code = call(entry.listen, method, fields);
+            sent += usize::from(code.is_unknown());
+            assert!(!code.is_unknown() || target.requests().len() == sent, "{method} {code:?}");
+        }
+    }
+    // Repeated failures eject no target of a service with one.
+    assert_eq!(sent, 60);
+}
--- /dev/null
+++ b/tests/fairness.rs
@@ -0,0 +1,106 @@
+//! Fairness between workspaces.
+
+mod fixture;
+
+use std::time::Instant;
+
+use cornellink::prelude::Code;
+use cornellink::process::admission::Verdict;
+use cornellink::process::demand::Demand;
+use cornellink::process::queue::{FlowKey, Queue};
+use cornellink::version::class::Length;
+use fixture::fleets::{ask, document, fill, fleet};
+use quickcheck::{Gen, QuickCheck};
+
+/// Runs a property on inputs that are the same in each run.
+fn check<P: quickcheck::Testable>(property: P) {
+    QuickCheck::new().rng(Gen::from_size_and_seed(60, 5)).tests(200).quickcheck(property);
+}
+
+fn serve(queue: &mut Queue<f64>) -> Option<(FlowKey, f64)> {
+    let flow = queue.next(|_| true)?;
+    Some((flow, queue.pop(flow)?))
+}
+
+/// Guards against a workspace that gets more than its weight's part while others wait: the work
+/// in relation to the weight differs by at most one call of each.
+#[test]
+fn waiting_flows_share_by_weight() {
+    fn property(costs: Vec<(u8, u8)>, weights: (u8, u8)) -> bool {
+        let weights = [weights.0, weights.1].map(|weight| f64::from(weight % 7 + 1));
+        let mut queue = Queue::default();
+        for (one, two) in &costs {
+            for (flow, cost) in [(0, *one), (1, *two)] {
+                let cost = f64::from(cost) + 1.0;
+                queue.push(FlowKey(flow), weights[flow as usize], cost, cost);
+            }
+        }
+        let mut served = [0.0, 0.0];
+        while (0..2).all(|flow| queue.flow_len(FlowKey(flow)) > 0) {
+            let (flow, cost) = serve(&mut queue).unwrap();
+            served[flow.0 as usize] += cost / weights[flow.0 as usize];
+        }
+        (served[0] - served[1]).abs() <= 256.0 / weights[0] + 256.0 / weights[1]
+    }
+    check(property as fn(Vec<(u8, u8)>, (u8, u8)) -> bool);
+}
+
+/// Guards against a call of a quiet workspace that waits behind the whole queue of a busy one.
+#[test]
+fn quiet_flow_is_served_next() {
+    let mut queue = Queue::default();
+    for _ in 0..100 {
+        queue.push(FlowKey(1), 1.0, 1.0, 1.0);
+    }
+    for _ in 0..10 {
+        serve(&mut queue);
+    }
+
+    queue.push(FlowKey(2), 1.0, 1.0, 2.0);
+
+    let early = [serve(&mut queue), serve(&mut queue)];
+    assert!(early.contains(&Some((FlowKey(2), 2.0))), "{early:?}");
+}
+
+/// Guards against a flood that fills the queue so that other workspaces are refused.
+#[test]
+fn full_queue_gives_way_to_a_quiet_workspace() {
+    let document = document(2, 3, 8, 1);
+    let mut fleet = fleet(0, &document);
+    fill(&mut fleet, Length::Short);
+    let now = Instant::now();
+    let mut flood = Vec::new();
+    for _ in 0..20 {
+        let verdict = fleet.admit(ask(&fleet, 1, Length::Short, now), now);
+        if let Verdict::Wait(receiver) = verdict {
+            flood.push(receiver);
+        }
+    }
+
+    let quiet = fleet.admit(ask(&fleet, 2, Length::Short, now), now);
+    let again = fleet.admit(ask(&fleet, 1, Length::Short, now), now);
+
+    assert!(matches!(quiet, Verdict::Wait(_)));
+    assert!(matches!(again, Verdict::Refuse(Code::NotRunQueueFull)));
+    let evicted = flood.iter_mut().filter_map(|receiver| receiver.try_recv().ok());
+    assert_eq!(evicted.filter(|result| result.is_err()).count(), 1);
+}
+
+/// Guards against a cap that holds back a workspace below its share, or one that is alone.
+#[test]
+fn only_a_flow_beyond_its_share_is_capped() {
+    let now = Instant::now();
+    let mut demand = Demand::default();
+    for _ in 0..100 {
+        demand.add(FlowKey(1), 1.0, 0.1, now);
+    }
+    assert_eq!(demand.cap(FlowKey(1), 6.0, now), 6.0);
+
+    for _ in 0..10 {
+        demand.add(FlowKey(2), 1.0, 0.1, now);
+    }
+
+    assert_eq!(demand.cap(FlowKey(2), 6.0, now), 6.0);
+    let flooding = demand.cap(FlowKey(1), 6.0, now);
+    assert!((3.0..5.0).contains(&flooding), "{flooding}");
+}
--- /dev/null
+++ b/tests/routing.rs
@@ -0,0 +1,200 @@
+//! Reserved slots, ejection and leaving targets.
+
+mod fixture;
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use cornellink::platform::vms::{Vm, VmRole};
+use cornellink::prelude::*;
+use cornellink::process::durations::{Durations, ShapeKey};
+use cornellink::process::grant::acquire;
+use cornellink::process::health::Health;
+use cornellink::process::outcome::{Outcome, Signs};
+use cornellink::process::runtime::block_on;
+use cornellink::process::share::{long_slots, Place};
+use cornellink::process::sign::Leaving;
+use cornellink::process::target::LoadReport;
+use cornellink::version::class::Length;
+use fixture::fleets::{address, ask, document, fill, fleet};
+use quickcheck::{Gen, QuickCheck};
+
+/// Guards against long work in the last slot of a target, whichever entries send it and whatever
+/// they know of each other.
+#[test]
+fn entries_together_leave_a_slot_free_of_long_work() {
+    for (targets, slots, entries) in [(12, 6, 16), (10, 3, 16), (6, 3, 5), (12, 6, 3)] {
+        let document = document(targets, slots, 100, entries);
+        let mut long = HashMap::new();
+        for index in 0..entries as usize {
+            let mut fleet = fleet(index, &document);
+            for ticket in fill(&mut fleet, Length::Long) {
+                *long.entry(fleet.get(ticket.target).unwrap().address).or_insert(0) += 1;
+            }
+        }
+        assert!(long.values().all(|count| *count < slots), "{targets} {slots} {entries}");
+        assert_eq!(long.values().sum::<u32>(), targets as u32 * (slots - 1));
+    }
+}
+
+/// Guards against slots that belong to two entries or to none.
+#[test]
+fn every_slot_belongs_to_one_entry() {
+    fn property(slots: Vec<u8>, count: u8) -> bool {
+        let slots: Vec<u32> = slots.into_iter().map(|slots| u32::from(slots % 7 + 1)).collect();
+        let count = u32::from(count % 20 + 1);
+        let mut sum = vec![0; slots.len()];
+        for rank in 0..count {
+            for (sum, own) in sum.iter_mut().zip((Place { rank, count }).cut(&slots)) {
+                *sum += own;
+            }
+        }
+        sum == slots
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 9))
+        .quickcheck(property as fn(Vec<u8>, u8) -> bool);
+    assert_eq!(long_slots(1), 1);
+}
+
+/// Guards against a path that is declared short and takes the slots kept for short work.
+#[test]
+fn observed_durations_correct_the_class() {
+    let mut durations = Durations::default();
+    let now = Instant::now();
+    let (check, pull) = (ShapeKey::new("any", "/yard/1"), ShapeKey::new("any", "/log/1"));
+    for index in 0..400 {
+        durations.observe(check, Length::Short, Duration::from_millis(5), now);
+        if index % 10 == 0 {
+            durations.observe(pull, Length::Short, Duration::from_millis(200), now);
+        }
+    }
+
+    assert_eq!(durations.length(pull, Length::Short), Length::Long);
+    assert_eq!(durations.length(check, Length::Long), Length::Short);
+    assert_eq!(ShapeKey::new("any", "/log/77/x"), pull);
+}
+
+/// Guards against a fault of all targets that ejects more than a third of them, and against
+/// errors that end an ejection.
+#[test]
+fn at_most_a_third_is_ejected() {
+    for targets in [1, 2, 3, 10, 12] {
+        let document = document(targets, 3, 100, 1);
+        let fleet = Rc::new(RefCell::new(fleet(0, &document)));
+        let shared = fleet.clone();
+        block_on(async move {
+            for _ in 0..40 * targets {
+                let now = Instant::now();
+                let ask = ask(&shared.borrow(), 1, Length::Short, now);
+                let grant = acquire(&shared, ask).await.unwrap();
+                grant.end(Outcome::Failed(Signs::default()));
+            }
+        })
+        .unwrap();
+        let now = Instant::now();
+        let ejected = (0..targets).filter(|index| {
+            let fleet = fleet.borrow();
+            let target = fleet.target(address(*index)).unwrap();
+            fleet.get(target).unwrap().health.is_ejected(now)
+        });
+        assert_eq!(ejected.count(), targets / 3);
+    }
+}
+
+/// Guards against ejection times that do not grow for a target that flaps, or grow for ever.
+#[test]
+fn ejections_grow_to_a_bound() {
+    let mut health = Health::default();
+    let mut now = Instant::now();
+    let mut spans = Vec::new();
+    for _ in 0..9 {
+        let span = health.eject(now);
+        assert!(health.is_ejected(now));
+        now += span;
+        assert!(!health.is_ejected(now));
+        assert!(health.share(now) < 0.1, "the return is ramped");
+        health.count(true);
+        assert!(health.is_outlier(None, now), "one failure after a return is enough");
+        spans.push(span.as_secs());
+    }
+    assert_eq!(spans, [1, 2, 4, 8, 16, 32, 64, 64, 64]);
+}
+
+/// Guards against callers with short deadlines that have a target ejected.
+#[test]
+fn short_deadlines_say_nothing_against_a_target() {
+    let document = document(3, 3, 100, 1);
+    let fleet = Rc::new(RefCell::new(fleet(0, &document)));
+    let shared = fleet.clone();
+    block_on(async move {
+        for _ in 0..100 {
+            let ask = ask(&shared.borrow(), 1, Length::Short, Instant::now());
+            acquire(&shared, ask).await.unwrap().end(Outcome::Expired);
+        }
+    })
+    .unwrap();
+    let fleet = fleet.borrow();
+    for index in 0..3 {
+        let target = fleet.target(address(index)).unwrap();
+        assert_eq!(fleet.get(target).unwrap().health.failure(), 0.0);
+    }
+}
+
+fn list(targets: &[(usize, bool)]) -> Vec<Vm> {
+    let vm = |address, role, leaving| Vm { address, domain: "a".into(), role, leaving };
+    let targets = targets.iter().map(|(index, leaving)| (address(*index), *leaving));
+    let targets = targets.map(|(address, leaving)| vm(address, VmRole::Target, leaving));
+    let entry = vm(address(900), VmRole::Entry, false);
+    targets.chain([entry]).collect()
+}
+
+/// Guards against new work at a target that leaves, by any sign, and against stale signs of life
+/// that bring it back.
+#[test]
+fn leaving_target_gets_no_new_work() {
+    let document = document(3, 3, 100, 1);
+    let mut fleet = fleet(0, &document);
+    let now = Instant::now();
+    let live = list(&[(0, false), (1, false), (2, false)]);
+    let signs = Signs { draining: true, ..Signs::default() };
+    let idle = LoadReport { running: 0, queued: 0, slots: 3 };
+
+    fleet.apply_vms(&live, address(900), now);
+    fleet.apply_vms(&list(&[(0, true), (1, false), (2, false)]), address(900), now);
+    let second = fleet.target(address(1)).unwrap();
+    fleet.observe(second, signs, now);
+    fleet.apply_vms(&live, address(900), now);
+    fleet.observe(second, Signs { report: Some(idle), ..Signs::default() }, now);
+
+    let tickets = fill(&mut fleet, Length::Short);
+    let third = fleet.target(address(2)).unwrap();
+    assert!(!tickets.is_empty());
+    assert!(tickets.iter().all(|ticket| ticket.target == third));
+}
+
+/// Guards against an empty list, a fault of the platform, that takes every target out of use.
+#[test]
+fn empty_list_changes_nothing() {
+    let document = document(3, 3, 100, 1);
+    let mut fleet = fleet(0, &document);
+    let now = Instant::now();
+    fleet.apply_vms(&list(&[(0, false), (1, false), (2, false)]), address(900), now);
+
+    fleet.apply_vms(&[], address(900), now);
+
+    assert_eq!(fill(&mut fleet, Length::Short).len(), 9);
+}
+
+/// Guards against an address that can never be used again after a new VM has taken it.
+#[test]
+fn new_vm_at_an_old_address_is_used_after_a_minute() {
+    let mut leaving = Leaving::default();
+    let now = Instant::now();
+    leaving.list_live(now);
+    leaving.list_without(now);
+    assert!(!leaving.list_live(now + Duration::from_secs(59)));
+    assert!(leaving.is_leaving());
+    assert!(leaving.list_live(now + Duration::from_secs(61)));
+    assert!(!leaving.is_leaving());
+}
