--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -18,20 +18,25 @@
 /// What the caller is told if no further attempt is made.
 struct Last {
     answer: Answer,
-    /// An earlier attempt may have run, so that the outcome is not "not run".
-    unknown: Option<Code>,
+    /// An attempt has run or may have run, so that the outcome is no longer "not run".
+    has_run: bool,
 }
 
 impl Last {
     fn new() -> Self {
-        Self { answer: Answer::own(Code::NotRunNoTarget), unknown: None }
+        Self { answer: Answer::own(Code::NotRunNoTarget), has_run: false }
+    }
+
+    fn answered(&mut self, answer: Answer) {
+        self.answer = answer;
+        self.has_run = true;
     }
 
     fn fail(&mut self, code: Code) {
-        if code.is_unknown() {
-            self.unknown = Some(code);
+        if code.is_unknown() || !self.has_run {
+            self.answer = Answer::own(code);
         }
-        self.answer = Answer::own(self.unknown.unwrap_or(code));
+        self.has_run |= code.is_unknown();
     }
 }
 
@@ -51,7 +56,7 @@
                 if !matched.class().idempotent || !is_transient(answer.status) {
                     return answer;
                 }
-                last.answer = answer;
+                last.answered(answer);
             }
             // A refusal of the entry's own does not hide what an earlier attempt has shown.
             Attempt::NotSent(_) if number > matched.attempt => return last.answer,
