Connect entries over QUIC and share hints, drain signs and documents

Entries knew only what they saw themselves: a drain sign took effect on one entry, an entry that started without the log had no document, and a claim's holder could not be asked.

quinn-proto is driven on monoio with one task for each UDP socket and one for each peer, with mutual TLS under the environment's own authority. Messages are postcard frames with stated limits; load hints are unreliable datagrams under a budget of bytes per second. `cornellink key` creates the authority and the certificates.

Result: the eight tests of tests/peers.rs pass, among them one that restarts two entries and one that carries an answer of 8 MiB.

--- /dev/null
+++ b/src/command/key.rs
@@ -0,0 +1,151 @@
+//! The command `key`: an environment's authority and its certificates.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use clap::{value_parser, Arg, ArgMatches, Command};
+
+use super::authority::{replace, Pair};
+use crate::prelude::*;
+
+/// Seconds of a day.
+const DAY: u64 = 24 * 60 * 60;
+/// File name of an authority without its extension.
+const AUTHORITY: &str = "authority";
+
+const EXAMPLES: &str = "\
+Examples:
+  cornellink key authority --environment trial --out keys
+  cornellink key issue entry-1 --authority keys --out keys
+  cornellink key renew entry-1 --authority keys --out keys
+  cornellink key bundle old/authority.pem new/authority.pem --out keys/authorities.pem";
+
+/// Describes the command.
+pub fn command() -> Command {
+    Command::new("key")
+        .about("Creates and renews the keys with which entries prove themselves to each other")
+        .after_help(EXAMPLES)
+        .subcommand_required(true)
+        .subcommand(
+            Command::new("authority")
+                .about("Creates the authority of an environment")
+                .arg(
+                    Arg::new("environment")
+                        .long("environment")
+                        .required(true)
+                        .help("Name of the environment"),
+                )
+                .arg(days("3650"))
+                .arg(out("Directory for authority.pem and authority.key"))
+                .after_help("Keep authority.key off the entries; they need authority.pem only."),
+        )
+        .subcommand(certificate("issue", "Creates the first certificate of an entry"))
+        .subcommand(certificate("renew", "Replaces the certificate and key of an entry"))
+        .subcommand(
+            Command::new("bundle")
+                .about("Joins authorities that entries accept during a rotation")
+                .arg(
+                    Arg::new("authorities")
+                        .num_args(1..)
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("Paths of the authorities' certificates"),
+                )
+                .arg(out("Path of the file to write")),
+        )
+}
+
+/// Runs the command.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    match matches.subcommand() {
+        Some(("authority", matches)) => authority(matches),
+        Some(("issue", matches)) => issue(matches, false),
+        Some(("renew", matches)) => issue(matches, true),
+        Some(("bundle", matches)) => bundle(matches),
+        _ => Ok(()),
+    }
+}
+
+fn certificate(name: &'static str, about: &'static str) -> Command {
+    Command::new(name)
+        .about(about)
+        .arg(Arg::new("entry").required(true).help("Name of the entry, as in its settings"))
+        .arg(
+            Arg::new("authority")
+                .long("authority")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("Directory of authority.pem and authority.key"),
+        )
+        .arg(days("30"))
+        .arg(out("Directory for the entry's files"))
+}
+
+fn days(default: &'static str) -> Arg {
+    Arg::new("days")
+        .long("days")
+        .default_value(default)
+        .value_parser(value_parser!(u64).range(1..=36_500))
+        .help("Days for which the certificate is valid")
+}
+
+fn out(help: &'static str) -> Arg {
+    Arg::new("out").long("out").required(true).value_parser(value_parser!(PathBuf)).help(help)
+}
+
+fn authority(matches: &ArgMatches) -> eyre::Result<()> {
+    let environment: &String = matches.get_one("environment").expect("it is required");
+    let stem = directory(matches)?.join(AUTHORITY);
+    refuse_existing(&stem)?;
+    Pair::authority(environment, validity(matches))?.write(&stem)?;
+    println!("created `{0}.pem` and `{0}.key`", stem.display());
+    Ok(())
+}
+
+fn issue(matches: &ArgMatches, is_renewal: bool) -> eyre::Result<()> {
+    let entry: &String = matches.get_one("entry").expect("it is required");
+    let authority: &PathBuf = matches.get_one("authority").expect("it is required");
+    let stem = directory(matches)?.join(entry);
+    if is_renewal {
+        eyre::ensure!(exists(&stem), "`{}.pem` does not exist; use `issue`", stem.display());
+    } else {
+        refuse_existing(&stem)?;
+    }
+    let authority = Pair::read(&authority.join(AUTHORITY))?;
+    authority.issue(entry, validity(matches))?.write(&stem)?;
+    println!("wrote `{0}.pem` and `{0}.key`", stem.display());
+    Ok(())
+}
+
+fn bundle(matches: &ArgMatches) -> eyre::Result<()> {
+    let paths = matches.get_many::<PathBuf>("authorities").expect("one is required");
+    let mut text = String::new();
+    for path in paths {
+        text.push_str(fs::read_to_string(path)?.trim_end());
+        text.push('\n');
+    }
+    let out: &PathBuf = matches.get_one("out").expect("it is required");
+    replace(out, &text, 0o644)?;
+    println!("wrote `{}`", out.display());
+    Ok(())
+}
+
+fn directory(matches: &ArgMatches) -> eyre::Result<PathBuf> {
+    let out: &PathBuf = matches.get_one("out").expect("it is required");
+    fs::create_dir_all(out)?;
+    Ok(out.clone())
+}
+
+fn validity(matches: &ArgMatches) -> Duration {
+    let days: u64 = *matches.get_one("days").expect("it has a default");
+    Duration::from_secs(days * DAY)
+}
+
+fn exists(stem: &Path) -> bool {
+    stem.with_extension("pem").exists() || stem.with_extension("key").exists()
+}
+
+fn refuse_existing(stem: &Path) -> eyre::Result<()> {
+    eyre::ensure!(!exists(stem), "`{}.pem` exists already", stem.display());
+    Ok(())
+}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,5 +1,8 @@
 //! The operators' command line.
 
+pub mod authority;
+pub mod key;
+
 use clap::{Arg, ArgMatches, Command};
 
 use crate::code::Code;
@@ -10,6 +13,7 @@
     match command().get_matches().subcommand() {
         Some(("check", matches)) => check(matches),
         Some(("explain", matches)) => explain(matches),
+        Some(("key", matches)) => key::run(matches),
         _ => Ok(()),
     }
 }
@@ -29,6 +33,7 @@
                 .about("Explains a result code")
                 .arg(Arg::new("code").required(true).value_parser(clap::value_parser!(u16))),
         )
+        .subcommand(key::command())
 }
 
 fn check(matches: &ArgMatches) -> eyre::Result<()> {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod guard;
 pub mod limits;
+pub mod quic;
 pub mod server;
 pub mod target;
 
--- a/src/error.rs
+++ b/src/error.rs
@@ -17,6 +17,10 @@
     Document { problems: Vec<String> },
     /// A file could not be read or written.
     File { path: String, source: io::Error },
+    /// A key or a certificate cannot be used.
+    Key { reason: String },
+    /// A peer sent a message that breaks the protocol.
+    Malformed { reason: String },
     /// The platform gave an answer that does not follow its protocol.
     Platform { reason: String },
     /// The platform did not answer in time.
@@ -35,6 +39,8 @@
             Self::Connection { reason } => write!(f, "connection failed: {reason}"),
             Self::Document { problems } => write!(f, "{}", problems.join("\n")),
             Self::File { path, source } => write!(f, "cannot access `{path}`: {source}"),
+            Self::Key { reason } => write!(f, "cannot use the keys: {reason}"),
+            Self::Malformed { reason } => write!(f, "malformed message: {reason}"),
             Self::Platform { reason } => write!(f, "unexpected answer of the platform: {reason}"),
             Self::PlatformTimeout => write!(f, "the platform did not answer in time"),
             Self::Runtime { source } => write!(f, "cannot build the runtime: {source}"),
@@ -51,6 +57,8 @@
             | Self::Runtime { source } => Some(source),
             Self::Connection { .. }
             | Self::Document { .. }
+            | Self::Key { .. }
+            | Self::Malformed { .. }
             | Self::Platform { .. }
             | Self::PlatformTimeout => None,
         }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -5,6 +5,7 @@
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
+use super::peers::{mesh, Peers};
 use super::settings::Settings;
 use super::Result;
 use crate::connection::caller::CallerConnection;
@@ -12,7 +13,9 @@
 use crate::connection::limits::Limits;
 use crate::connection::server;
 use crate::platform::http_log::HttpLog;
+use crate::platform::http_vms::HttpVms;
 use crate::platform::log::Log;
+use crate::platform::vms::Vms;
 use crate::prelude::*;
 use crate::request::dispatch;
 use crate::version::revision::Revision;
@@ -20,11 +23,15 @@
 /// Longest wait for an append of the log.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Longest wait for the list of VMs.
+const LIST_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
+    pub peers: Peers,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -33,10 +40,12 @@
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
         let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let peers = Peers::new(&settings);
         Self {
             settings,
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
+            peers,
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -55,6 +64,15 @@
         self.revision.replace(revision);
     }
 
+    /// Puts a revision in force that a peer gave, if its number is higher; the log is not asked.
+    pub fn install(&self, revision: Rc<Revision>) -> bool {
+        if self.revision().is_some_and(|current| current.number >= revision.number) {
+            return false;
+        }
+        self.set_revision(Some(revision));
+        true
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -79,6 +97,8 @@
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
     monoio::spawn(follower::follow(entry.clone(), log));
+    let vms = Rc::new(HttpVms::new(entry.settings.platform, LIST_TIMEOUT));
+    monoio::spawn(run_peers(entry.clone(), vms));
     let state = entry.clone();
     monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
     loop {
@@ -87,6 +107,13 @@
     }
 }
 
+async fn run_peers(entry: Rc<Entry>, vms: Rc<dyn Vms>) {
+    if let Err(error) = mesh::run(entry.clone(), vms).await {
+        log::error!("the entry runs without peers: {error}");
+        entry.peers.set_fault(&error);
+    }
+}
+
 async fn serve_caller(entry: Rc<Entry>, stream: TcpStream) {
     let mut connection = CallerConnection::new(stream, Limits::default());
     loop {
@@ -133,6 +160,7 @@
     let status = serde_json::json!({
         "name": settings.name,
         "domain": settings.domain,
+        "peers": entry.peers.status(),
         "revision": revision,
     });
     status.to_string()
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 use slotmap::SlotMap;
 
+use super::news::News;
 use super::pool::Pool;
 use super::target::{LoadReport, Target, TargetKey};
 use crate::prelude::*;
@@ -18,6 +19,7 @@
 pub struct Fleet {
     targets: SlotMap<TargetKey, Target>,
     addresses: HashMap<SocketAddr, TargetKey>,
+    news: News,
     services: Vec<Vec<TargetKey>>,
     turn: usize,
     random: SmallRng,
@@ -29,6 +31,7 @@
         Self {
             targets: SlotMap::with_key(),
             addresses: HashMap::new(),
+            news: News::default(),
             services: Vec::new(),
             turn: 0,
             random: SmallRng::seed_from_u64(seed),
@@ -51,6 +54,7 @@
                         inflight: 0,
                         draining: false,
                         report: None,
+                        reported: None,
                         pool: Rc::new(Pool::new(spec.address, limit)),
                     })
                 });
@@ -89,10 +93,44 @@
     pub fn finish(&mut self, key: TargetKey, report: Option<LoadReport>, draining: bool) {
         let Some(target) = self.targets.get_mut(key) else { return };
         target.inflight -= 1;
-        target.draining |= draining;
-        if report.is_some() {
-            target.report = report;
+        let address = target.address;
+        if let Some(report) = report {
+            target.report = Some(report);
+            target.reported = Some(Instant::now());
+            self.news.load(address, report);
         }
+        if draining {
+            self.mark_leaving(address);
+        }
+    }
+
+    /// Takes a peer's load report of a target; `age` is the time since the target sent it.
+    pub fn hint(&mut self, address: SocketAddr, report: LoadReport, age: Duration) {
+        let Some(key) = self.addresses.get(&address) else { return };
+        let target = &mut self.targets[*key];
+        let at = Instant::now().checked_sub(age);
+        if at > target.reported {
+            target.report = Some(report);
+            target.reported = at;
+        }
+    }
+
+    /// Takes a sign that a target leaves; the first one is news for peers.
+    pub fn mark_leaving(&mut self, address: SocketAddr) {
+        let Some(key) = self.addresses.get(&address) else { return };
+        if !std::mem::replace(&mut self.targets[*key].draining, true) {
+            self.news.leave(address);
+        }
+    }
+
+    /// What peers do not know yet.
+    pub fn news_mut(&mut self) -> &mut News {
+        &mut self.news
+    }
+
+    /// Takes what peers do not know yet.
+    pub fn take_news(&mut self) -> News {
+        std::mem::take(&mut self.news)
     }
 
     /// The connections to a target.
--- a/src/process/follower.rs
+++ b/src/process/follower.rs
@@ -5,6 +5,7 @@
 use crate::prelude::*;
 use crate::version::history::{History, Verdict};
 use crate::version::record::STREAM;
+use crate::version::revision::Revision;
 
 /// Longest wait of one read.
 const READ_WAIT: Duration = Duration::from_secs(1);
@@ -27,8 +28,16 @@
             let verdict = history.apply(record.offset, &record.value);
             log::info!("record `{}` of `config`: {verdict:?}", record.offset);
             if verdict == Verdict::Accepted {
-                entry.set_revision(history.current());
+                correct(&entry, history.current());
             }
         }
     }
 }
+
+/// Puts the log's revision in force, unless a peer gave a later one that the log has not shown yet.
+fn correct(entry: &Entry, accepted: Option<Rc<Revision>>) {
+    let number = |revision: &Option<Rc<Revision>>| revision.as_ref().map(|one| one.number);
+    if number(&entry.revision()) <= number(&accepted) {
+        entry.set_revision(accepted);
+    }
+}
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -2,6 +2,7 @@
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
+use crate::connection::quic::traffic::Traffic;
 use crate::prelude::*;
 
 /// Bounds of the latency histograms' buckets in seconds.
@@ -42,6 +43,38 @@
         metrics::with_local_recorder(&self.recorder, || metrics::counter!(name).increment(1));
     }
 
+    /// Counts a message of a peer and its bytes; `direction` is `sent` or `received`.
+    pub fn peer_message(&self, direction: &'static str, bytes: usize) {
+        metrics::with_local_recorder(&self.recorder, || {
+            let labels = [("direction", direction)];
+            metrics::counter!("cornellink_peer_messages_total", &labels).increment(1);
+            let bytes = bytes as u64;
+            metrics::counter!("cornellink_peer_message_bytes_total", &labels).increment(bytes);
+        });
+    }
+
+    /// Counts load hints sent to peers.
+    pub fn peer_hints(&self, count: u64) {
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_peer_hints_total").increment(count);
+        });
+    }
+
+    /// Takes over what the socket for peers has counted.
+    pub fn peer_traffic(&self, traffic: &Traffic) {
+        let counts = [
+            ("sent", traffic.sent_bytes.get(), traffic.sent_datagrams.get()),
+            ("received", traffic.received_bytes.get(), traffic.received_datagrams.get()),
+        ];
+        metrics::with_local_recorder(&self.recorder, || {
+            for (direction, bytes, datagrams) in counts {
+                let labels = [("direction", direction)];
+                metrics::counter!("cornellink_peer_bytes_total", &labels).absolute(bytes);
+                metrics::counter!("cornellink_peer_datagrams_total", &labels).absolute(datagrams);
+            }
+        });
+    }
+
     /// The metrics as Prometheus text.
     pub fn render(&self) -> String {
         self.handle.run_upkeep();
--- /dev/null
+++ b/src/process/peers/budget.rs
@@ -0,0 +1,29 @@
+//! A bound on bytes per second.
+
+use crate::prelude::*;
+
+/// A token bucket that holds at most one fifth of a second's bytes.
+pub struct Budget {
+    rate: f64,
+    tokens: f64,
+    filled: Instant,
+}
+
+impl Budget {
+    /// Creates an empty bucket of `rate` bytes per second.
+    pub fn new(rate: u32, now: Instant) -> Self {
+        Self { rate: f64::from(rate), tokens: 0.0, filled: now }
+    }
+
+    /// Takes `bytes` if they are there.
+    pub fn take(&mut self, bytes: usize, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.rate).min(self.rate / 5.0);
+        self.filled = now;
+        if self.tokens < bytes as f64 {
+            return false;
+        }
+        self.tokens -= bytes as f64;
+        true
+    }
+}
--- /dev/null
+++ b/src/process/peers/document.rs
@@ -0,0 +1,70 @@
+//! The document from a peer, when the log does not give it.
+
+use super::link::Link;
+use super::message::{Announcement, DocumentReply, Reply, Request};
+use super::{Peers, Result};
+use crate::prelude::*;
+use crate::process::entry::Entry;
+use crate::version::parse::parse;
+use crate::version::revision::Revision;
+
+/// Time that the log has to deliver a revision before a peer is asked for it.
+const LOG_TIME: Duration = Duration::from_millis(500);
+/// Longest wait for a peer's document.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// Pause between two looks at what peers have announced.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Fetches documents that peers announce until the entry stops.
+pub async fn follow(entry: Rc<Entry>) {
+    let mut behind: Option<Instant> = None;
+    while !entry.peers.is_stopping() {
+        monoio::time::sleep(LOOK_INTERVAL).await;
+        let Some((link, announcement)) = newest(&entry) else {
+            behind = None;
+            continue;
+        };
+        let since = *behind.get_or_insert_with(Instant::now);
+        if since.elapsed() < LOG_TIME {
+            continue;
+        }
+        behind = None;
+        let Err(error) = fetch(&entry, &link, announcement).await else { continue };
+        log::warn!("no document from peer `{}`: {error}", link.hello.name);
+        // Another peer may have the text; this one announces it again when it reconnects.
+        link.announced.set(None);
+    }
+}
+
+/// The peer with the highest revision above the one in force.
+fn newest(entry: &Entry) -> Option<(Rc<Link>, Announcement)> {
+    let current = entry.revision().map_or(0, |revision| revision.number);
+    let links = entry.peers.links().into_iter();
+    let announced = links.filter_map(|link| link.announced.get().map(|latest| (link, latest)));
+    announced.filter(|(_, latest)| latest.number > current).max_by_key(|(_, latest)| latest.number)
+}
+
+async fn fetch(entry: &Entry, link: &Link, announcement: Announcement) -> Result<()> {
+    let request = Request::Document { number: announcement.number };
+    let peers: &Peers = &entry.peers;
+    let asked = monoio::time::timeout(DOCUMENT_TIMEOUT, peers.ask(link, &request)).await;
+    let Ok(Some(Reply::Document(reply))) = asked else {
+        return Err(Error::Connection { reason: "the peer gave no document".into() });
+    };
+    let revision = prove(reply, announcement)?;
+    if entry.install(Rc::new(revision)) {
+        log::info!("revision `{}` installed from peer `{}`", announcement.number, link.hello.name);
+        entry.metrics.count("cornellink_peer_documents_total");
+    }
+    Ok(())
+}
+
+/// Checks that a document is the announced one and valid.
+pub fn prove(reply: DocumentReply, announcement: Announcement) -> Result<Revision> {
+    let DocumentReply { number, nonce, author, text } = reply;
+    if (number, nonce) != (announcement.number, announcement.nonce) {
+        return Err(Error::Connection { reason: "the document is of another revision".into() });
+    }
+    let document = parse(&text)?;
+    Ok(Revision { number, nonce, author, text, document })
+}
--- /dev/null
+++ b/src/process/peers/handler.rs
@@ -0,0 +1,67 @@
+//! What an entry does with a peer's messages.
+
+use super::link::Link;
+use super::message::{DocumentReply, Loads, Message, Reply, Request};
+use crate::prelude::*;
+use crate::process::entry::Entry;
+
+/// Takes a message of a control stream.
+pub fn receive(entry: &Entry, link: &Link, message: Message) {
+    match message {
+        Message::Drain(addresses) => {
+            for address in addresses {
+                // A first sign becomes news, which spreads it to the other peers.
+                entry.fleet.borrow_mut().mark_leaving(address);
+            }
+        }
+        // The session takes the first message itself.
+        Message::Hello(_) => {}
+        Message::Interest { relay } => link.relay.set(relay),
+        Message::Members(hints) => entry.peers.take_members(&hints),
+        Message::Revision(announcement) => link.announced.set(Some(announcement)),
+    }
+}
+
+/// Takes load hints, and passes them on to peers of other failure domains that asked for them.
+pub fn take_loads(entry: &Entry, link: &Link, batch: &Loads) {
+    let peers = &entry.peers;
+    let now = Instant::now();
+    let is_near = link.hello.domain == entry.settings.domain;
+    let links = peers.links();
+    for load in &batch.loads {
+        let Some(address) = peers.hints.address(batch.revision, load.target) else {
+            entry.metrics.count("cornellink_peer_hints_stale_total");
+            return;
+        };
+        entry.fleet.borrow_mut().hint(address, load.report, load.age);
+        let Some(at) = now.checked_sub(load.age) else { continue };
+        peers.hints.hear(load.target, load.report, at);
+        for other in links.iter().filter(|_| is_near) {
+            if other.hello.domain == entry.settings.domain {
+                peers.hints.supersede(other, load.target, at);
+            } else if other.relay.get() {
+                peers.hints.queue(other, load.target, load.report, at);
+            }
+        }
+    }
+}
+
+/// Serves a request.
+pub fn reply(entry: &Entry, request: Request) -> Reply {
+    match request {
+        Request::Claim(query) => entry.peers.answer_claim(&query),
+        Request::Document { number } => document(entry, number),
+    }
+}
+
+fn document(entry: &Entry, number: u64) -> Reply {
+    let Some(revision) = entry.revision().filter(|revision| revision.number == number) else {
+        return Reply::Missing;
+    };
+    Reply::Document(DocumentReply {
+        number,
+        nonce: revision.nonce,
+        author: revision.author.clone(),
+        text: revision.text.clone(),
+    })
+}
--- /dev/null
+++ b/src/process/peers/link.rs
@@ -0,0 +1,63 @@
+//! A connected peer.
+
+use std::collections::HashMap;
+
+use rustls::pki_types::CertificateDer;
+
+use super::message::{Announcement, Hello};
+use super::outbox::Outbox;
+use crate::prelude::*;
+use crate::process::target::LoadReport;
+
+/// A peer whose handshake is complete.
+pub struct Link {
+    pub certificates: Vec<CertificateDer<'static>>,
+    /// What the peer has in force.
+    pub announced: Cell<Option<Announcement>>,
+    pub hello: Hello,
+    /// Whether this entry opened the connection.
+    pub is_dialler: bool,
+    /// When the last batch of load hints was sent.
+    pub flushed: Cell<Instant>,
+    /// Load reports to send, by place of the target in the document.
+    pub loads: RefCell<HashMap<u32, (LoadReport, Instant)>>,
+    pub outbox: Rc<Outbox>,
+    /// Whether the peer wants the load reports of this entry's whole failure domain.
+    pub relay: Cell<bool>,
+    /// What this entry asked of the peer in turn.
+    pub asked: Cell<bool>,
+    /// Last reports sent to the peer.
+    pub sent: RefCell<HashMap<u32, (LoadReport, Instant)>>,
+}
+
+impl Link {
+    /// Creates the state of a connected peer.
+    pub fn new(
+        hello: Hello,
+        outbox: Rc<Outbox>,
+        certificates: Vec<CertificateDer<'static>>,
+        is_dialler: bool,
+    ) -> Self {
+        Self {
+            certificates,
+            announced: Cell::new(None),
+            hello,
+            is_dialler,
+            flushed: Cell::new(Instant::now()),
+            loads: RefCell::default(),
+            outbox,
+            relay: Cell::new(false),
+            asked: Cell::new(false),
+            sent: RefCell::default(),
+        }
+    }
+
+    /// Address of the side that opened the connection.
+    pub fn dialler(&self, own: SocketAddr) -> SocketAddr {
+        if self.is_dialler {
+            own
+        } else {
+            self.hello.address
+        }
+    }
+}
--- /dev/null
+++ b/src/process/peers/request_wire.rs
@@ -0,0 +1,164 @@
+//! Wire types of requests and replies between entries.
+
+use serde::{Deserialize, Serialize};
+
+use super::frame::{malformed, Frame};
+use super::message::{ClaimQuery, ClaimReply, DocumentReply, Reply, Request};
+use super::wire::{frame, payload};
+use super::Result;
+use crate::prelude::*;
+
+const CLAIM: u16 = 32;
+const DOCUMENT: u16 = 33;
+const CLAIM_REPLY: u16 = 48;
+const DOCUMENT_REPLY: u16 = 49;
+const MISSING: u16 = 50;
+
+#[derive(Deserialize, Serialize)]
+struct ClaimWire {
+    key: String,
+}
+
+#[derive(Deserialize, Serialize)]
+struct DocumentWire {
+    number: u64,
+}
+
+#[derive(Deserialize, Serialize)]
+struct DocumentReplyWire {
+    number: u64,
+    nonce: u64,
+    author: String,
+    text: String,
+}
+
+#[derive(Deserialize, Serialize)]
+struct AnswerWire {
+    status: u16,
+    headers: Vec<(String, Vec<u8>)>,
+    body: Vec<u8>,
+}
+
+#[derive(Deserialize, Serialize)]
+enum ClaimReplyWire {
+    Done { code: u16, answer: AnswerWire },
+    Released,
+    Running,
+    Unknown,
+}
+
+impl Request {
+    /// Encodes the request.
+    pub fn encode(&self) -> Frame {
+        match self {
+            Self::Claim(query) => frame(CLAIM, &ClaimWire { key: query.key.clone() }),
+            Self::Document { number } => frame(DOCUMENT, &DocumentWire { number: *number }),
+        }
+    }
+
+    /// Decodes a frame; an unknown kind gives `None`.
+    pub fn decode(frame: &Frame) -> Result<Option<Self>> {
+        let request = match frame.kind {
+            CLAIM => Self::Claim(ClaimQuery { key: payload::<ClaimWire>(frame)?.key }),
+            DOCUMENT => Self::Document { number: payload::<DocumentWire>(frame)?.number },
+            _ => return Ok(None),
+        };
+        Ok(Some(request))
+    }
+}
+
+impl Reply {
+    /// Encodes the reply.
+    pub fn encode(&self) -> Frame {
+        match self {
+            Self::Claim(reply) => frame(CLAIM_REPLY, &ClaimReplyWire::from(reply)),
+            Self::Document(reply) => frame(DOCUMENT_REPLY, &DocumentReplyWire::from(reply)),
+            Self::Missing => frame(MISSING, &()),
+        }
+    }
+
+    /// Decodes a frame; an unknown kind gives `None`.
+    pub fn decode(frame: &Frame) -> Result<Option<Self>> {
+        let reply = match frame.kind {
+            CLAIM_REPLY => Self::Claim(payload::<ClaimReplyWire>(frame)?.try_into()?),
+            DOCUMENT_REPLY => Self::Document(payload::<DocumentReplyWire>(frame)?.into()),
+            MISSING => Self::Missing,
+            _ => return Ok(None),
+        };
+        Ok(Some(reply))
+    }
+}
+
+impl From<&DocumentReply> for DocumentReplyWire {
+    fn from(reply: &DocumentReply) -> Self {
+        let DocumentReply { number, nonce, author, text } = reply.clone();
+        Self { number, nonce, author, text }
+    }
+}
+
+impl From<DocumentReplyWire> for DocumentReply {
+    fn from(wire: DocumentReplyWire) -> Self {
+        let DocumentReplyWire { number, nonce, author, text } = wire;
+        Self { number, nonce, author, text }
+    }
+}
+
+impl From<&ClaimReply> for ClaimReplyWire {
+    fn from(reply: &ClaimReply) -> Self {
+        match reply {
+            ClaimReply::Done { code, answer } => {
+                Self::Done { code: code.number(), answer: answer.into() }
+            }
+            ClaimReply::Released => Self::Released,
+            ClaimReply::Running => Self::Running,
+            ClaimReply::Unknown => Self::Unknown,
+        }
+    }
+}
+
+impl TryFrom<ClaimReplyWire> for ClaimReply {
+    type Error = Error;
+
+    fn try_from(wire: ClaimReplyWire) -> Result<Self> {
+        Ok(match wire {
+            ClaimReplyWire::Done { code, answer } => {
+                let known = Code::from_number(code);
+                let code = known.ok_or_else(|| malformed(format!("code `{code}`")))?;
+                Self::Done { code, answer: answer.try_into()? }
+            }
+            ClaimReplyWire::Released => Self::Released,
+            ClaimReplyWire::Running => Self::Running,
+            ClaimReplyWire::Unknown => Self::Unknown,
+        })
+    }
+}
+
+impl From<&Answer> for AnswerWire {
+    fn from(answer: &Answer) -> Self {
+        let headers = answer.headers.iter();
+        let headers =
+            headers.map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()));
+        Self {
+            status: answer.status.as_u16(),
+            headers: headers.collect(),
+            body: answer.body.to_vec(),
+        }
+    }
+}
+
+impl TryFrom<AnswerWire> for Answer {
+    type Error = Error;
+
+    fn try_from(wire: AnswerWire) -> Result<Self> {
+        let status = StatusCode::from_u16(wire.status)
+            .map_err(|_| malformed(format!("status `{}`", wire.status)))?;
+        let mut answer = Self::new(status, wire.body);
+        for (name, value) in wire.headers {
+            let name = HeaderName::try_from(name).map_err(|error| malformed(error.to_string()))?;
+            let value =
+                HeaderValue::try_from(value).map_err(|error| malformed(error.to_string()))?;
+            answer.headers.append(name, value);
+        }
+        Ok(answer)
+    }
+}
--- /dev/null
+++ b/src/process/peers/settings.rs
@@ -0,0 +1,34 @@
+//! The part of the settings that concerns peers.
+
+use serde::Deserialize;
+
+use crate::connection::quic::identity::Paths;
+use crate::prelude::*;
+
+/// Addresses and key files of an entry that has peers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(rename_all = "camelCase", deny_unknown_fields)]
+pub struct PeerSettings {
+    /// Address of the UDP port for peers, as other entries reach it.
+    pub address: SocketAddr,
+    /// PEM file with the environment's authority; with the old and the new one in a rotation.
+    pub authority: String,
+    /// PEM file with the entry's certificate.
+    pub certificate: String,
+    /// PEM file with the entry's private key.
+    pub key: String,
+    /// Peers that are tried whatever the platform's list says.
+    #[serde(default, rename = "static")]
+    pub known: Vec<SocketAddr>,
+}
+
+impl PeerSettings {
+    /// Paths of the key files.
+    pub fn paths(&self) -> Paths {
+        Paths {
+            authority: self.authority.clone(),
+            certificate: self.certificate.clone(),
+            key: self.key.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/src/process/peers/wire.rs
@@ -0,0 +1,209 @@
+//! Wire types of messages between entries, encoded with `postcard`.
+//!
+//! A later version may append fields; older readers ignore them.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::frame::{malformed, Frame};
+use super::message::{Announcement, Hello, Load, Loads, MemberHint, Message};
+use super::Result;
+use crate::prelude::*;
+use crate::process::target::LoadReport;
+
+const HELLO: u16 = 1;
+const INTEREST: u16 = 2;
+const DRAIN: u16 = 3;
+const MEMBERS: u16 = 4;
+const REVISION: u16 = 5;
+const LOADS: u16 = 16;
+
+/// Longest name of an entry or a failure domain in bytes.
+const NAME_BYTES: usize = 128;
+
+#[derive(Deserialize, Serialize)]
+struct HelloWire {
+    protocol: u16,
+    oldest: u16,
+    features: u64,
+    name: String,
+    address: SocketAddr,
+    domain: String,
+    instance: u64,
+}
+
+#[derive(Deserialize, Serialize)]
+struct MemberWire {
+    name: String,
+    address: SocketAddr,
+    domain: String,
+}
+
+#[derive(Deserialize, Serialize)]
+struct RevisionWire {
+    number: u64,
+    nonce: u64,
+}
+
+#[derive(Deserialize, Serialize)]
+struct LoadWire {
+    target: u32,
+    running: u32,
+    queued: u32,
+    slots: u32,
+    /// Milliseconds.
+    age: u32,
+}
+
+#[derive(Deserialize, Serialize)]
+struct LoadsWire {
+    revision: u64,
+    loads: Vec<LoadWire>,
+}
+
+impl Message {
+    /// Encodes the message.
+    pub fn encode(&self) -> Frame {
+        match self {
+            Self::Drain(addresses) => frame(DRAIN, addresses),
+            Self::Hello(hello) => frame(HELLO, &HelloWire::from(hello)),
+            Self::Interest { relay } => frame(INTEREST, relay),
+            Self::Members(hints) => {
+                frame(MEMBERS, &hints.iter().map(MemberWire::from).collect::<Vec<_>>())
+            }
+            Self::Revision(announcement) => frame(REVISION, &RevisionWire::from(announcement)),
+        }
+    }
+
+    /// Decodes a frame; an unknown kind gives `None`.
+    pub fn decode(frame: &Frame) -> Result<Option<Self>> {
+        let message = match frame.kind {
+            DRAIN => Self::Drain(payload(frame)?),
+            HELLO => Self::Hello(payload::<HelloWire>(frame)?.try_into()?),
+            INTEREST => Self::Interest { relay: payload(frame)? },
+            MEMBERS => {
+                let hints = payload::<Vec<MemberWire>>(frame)?;
+                let hints = hints.into_iter().map(MemberHint::try_from);
+                Self::Members(hints.collect::<Result<_>>()?)
+            }
+            REVISION => Self::Revision(payload::<RevisionWire>(frame)?.into()),
+            _ => return Ok(None),
+        };
+        Ok(Some(message))
+    }
+}
+
+impl Loads {
+    /// Encodes the reports.
+    pub fn encode(&self) -> Frame {
+        let loads = self.loads.iter().map(LoadWire::from).collect();
+        frame(LOADS, &LoadsWire { revision: self.revision, loads })
+    }
+
+    /// Decodes a frame; an unknown kind gives `None`.
+    pub fn decode(frame: &Frame) -> Result<Option<Self>> {
+        if frame.kind != LOADS {
+            return Ok(None);
+        }
+        let wire: LoadsWire = payload(frame)?;
+        let loads = wire.loads.into_iter().map(Load::from).collect();
+        Ok(Some(Self { revision: wire.revision, loads }))
+    }
+}
+
+/// Encodes a wire type.
+pub(super) fn frame<T: Serialize + ?Sized>(kind: u16, wire: &T) -> Frame {
+    let payload = postcard::to_stdvec(wire).expect("the wire types have known lengths");
+    Frame { kind, payload: payload.into() }
+}
+
+/// Decodes a wire type and ignores what a later version may have appended.
+pub(super) fn payload<T: DeserializeOwned>(frame: &Frame) -> Result<T> {
+    let decoded = postcard::take_from_bytes(&frame.payload);
+    let (wire, _) = decoded.map_err(|error| malformed(format!("`{}`: {error}", frame.kind)))?;
+    Ok(wire)
+}
+
+fn bounded(name: String) -> Result<String> {
+    if name.is_empty() || name.len() > NAME_BYTES {
+        return Err(malformed(format!("a name has `{}` bytes", name.len())));
+    }
+    Ok(name)
+}
+
+impl From<&Hello> for HelloWire {
+    fn from(hello: &Hello) -> Self {
+        Self {
+            protocol: hello.protocol,
+            oldest: hello.oldest,
+            features: hello.features,
+            name: hello.name.clone(),
+            address: hello.address,
+            domain: hello.domain.clone(),
+            instance: hello.instance,
+        }
+    }
+}
+
+impl TryFrom<HelloWire> for Hello {
+    type Error = Error;
+
+    fn try_from(wire: HelloWire) -> Result<Self> {
+        Ok(Self {
+            protocol: wire.protocol,
+            oldest: wire.oldest,
+            features: wire.features,
+            name: bounded(wire.name)?,
+            address: wire.address,
+            domain: bounded(wire.domain)?,
+            instance: wire.instance,
+        })
+    }
+}
+
+impl From<&MemberHint> for MemberWire {
+    fn from(hint: &MemberHint) -> Self {
+        Self { name: hint.name.clone(), address: hint.address, domain: hint.domain.clone() }
+    }
+}
+
+impl TryFrom<MemberWire> for MemberHint {
+    type Error = Error;
+
+    fn try_from(wire: MemberWire) -> Result<Self> {
+        let (name, domain) = (bounded(wire.name)?, bounded(wire.domain)?);
+        Ok(Self { name, address: wire.address, domain })
+    }
+}
+
+impl From<&Announcement> for RevisionWire {
+    fn from(announcement: &Announcement) -> Self {
+        Self { number: announcement.number, nonce: announcement.nonce }
+    }
+}
+
+impl From<RevisionWire> for Announcement {
+    fn from(wire: RevisionWire) -> Self {
+        Self { number: wire.number, nonce: wire.nonce }
+    }
+}
+
+impl From<&Load> for LoadWire {
+    fn from(load: &Load) -> Self {
+        Self {
+            target: load.target,
+            running: load.report.running,
+            queued: load.report.queued,
+            slots: load.report.slots,
+            age: u32::try_from(load.age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<LoadWire> for Load {
+    fn from(wire: LoadWire) -> Self {
+        let LoadWire { target, running, queued, slots, age } = wire;
+        let report = LoadReport { running, queued, slots };
+        Self { target, report, age: Duration::from_millis(u64::from(age)) }
+    }
+}
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 
+use super::peers::settings::PeerSettings;
 use super::Result;
 use crate::prelude::*;
 
@@ -19,6 +20,9 @@
     pub domain: String,
     /// Address of the platform's log and list of VMs.
     pub platform: SocketAddr,
+    /// Keys and addresses for peers; without them the entry runs without peers.
+    #[serde(default)]
+    pub peers: Option<PeerSettings>,
     /// Log filter.
     #[serde(default = "default_log")]
     pub log: String,
--- /dev/null
+++ b/tests/peers.rs
@@ -0,0 +1,229 @@
+//! Entries that tell each other what they know.
+
+mod fixture;
+
+use cornellink::platform::vms::{Vm, VmRole};
+use cornellink::prelude::*;
+use cornellink::process::entry::Entry;
+use cornellink::process::peers::message::{ClaimQuery, ClaimReply};
+use cornellink::process::runtime::block_on;
+use cornellink::process::target::LoadReport;
+use fixture::keys::Keys;
+use fixture::node::{free_udp, revision, start_node, until, FixedVms};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn vm(address: SocketAddr, domain: &str) -> Vm {
+    Vm { address, domain: domain.into(), role: VmRole::Entry, leaving: false }
+}
+
+fn targets(count: u16) -> Vec<SocketAddr> {
+    (0..count).map(|index| SocketAddr::from(([10, 0, 0, 1], 1000 + index))).collect()
+}
+
+fn names(entry: &Entry) -> Vec<String> {
+    let links = entry.peers.links();
+    let mut names: Vec<String> = links.iter().map(|link| link.hello.name.clone()).collect();
+    names.sort();
+    names
+}
+
+/// Starts entries `NAME` in `DOMAIN` that find each other through the list of VMs.
+fn start(keys: &Keys, places: &[(&str, &str)]) -> (Vec<Rc<Entry>>, Rc<FixedVms>) {
+    let addresses: Vec<SocketAddr> = places.iter().map(|_| free_udp()).collect();
+    let list = Rc::new(FixedVms::default());
+    for (address, (_, domain)) in addresses.iter().zip(places) {
+        list.0.borrow_mut().push(vm(*address, domain));
+    }
+    let start = |(address, (name, domain)): (&SocketAddr, &(&str, &str))| {
+        start_node(name, domain, keys.settings(name, *address, &[]), list.clone())
+    };
+    (addresses.iter().zip(places).map(start).collect(), list)
+}
+
+fn report(running: u32) -> LoadReport {
+    LoadReport { running, queued: 0, slots: 3 }
+}
+
+/// Guards against entries of one failure domain that keep two connections or none.
+#[test]
+fn entries_of_one_domain_keep_one_connection_to_each_other() {
+    let keys = Keys::new();
+    block_on(async move {
+        let (entries, _list) = start(&keys, &[("one", "a"), ("two", "a"), ("three", "a")]);
+        until("all are connected", || entries.iter().all(|entry| names(entry).len() == 2)).await;
+        assert_eq!(names(&entries[0]), ["three", "two"]);
+        assert_eq!(names(&entries[1]), ["one", "three"]);
+    })
+    .unwrap();
+}
+
+/// Guards against all-to-all connections between failure domains.
+#[test]
+fn each_entry_picks_one_peer_of_another_domain() {
+    let keys = Keys::new();
+    block_on(async move {
+        let places = [("a1", "a"), ("b1", "b"), ("b2", "b"), ("b3", "b"), ("b4", "b")];
+        let (entries, _list) = start(&keys, &places);
+        let relays =
+            |entry: &Rc<Entry>| entry.peers.links().iter().filter(|link| link.asked.get()).count();
+        until("each asks one peer of the other domain", || {
+            entries.iter().all(|entry| relays(entry) == 1)
+        })
+        .await;
+        until("each is connected in its domain", || {
+            entries[1..].iter().all(|entry| names(entry).len() >= 3)
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+/// Guards against drain signs that reach direct peers only.
+#[test]
+fn drain_sign_spreads_to_another_domain() {
+    let keys = Keys::new();
+    block_on(async move {
+        let (entries, _list) = start(&keys, &[("a1", "a"), ("a2", "a"), ("b1", "b")]);
+        let all = targets(2);
+        entries.iter().for_each(|entry| entry.set_revision(Some(revision(1, 7, &all))));
+        until("all are connected", || entries.iter().all(|entry| !names(entry).is_empty())).await;
+        entries[0].fleet.borrow_mut().mark_leaving(all[0]);
+        let service = revision(1, 7, &all).document.services[0].clone();
+        for entry in &entries {
+            until("the leaving target gets no calls", || {
+                let mut fleet = entry.fleet.borrow_mut();
+                let key = cornellink::version::keys::ServiceKey(0);
+                let picked = (0..50).map(|_| fleet.pick(key, &service, &[]).unwrap());
+                let mut picked: Vec<_> = picked.collect();
+                picked.dedup();
+                picked.len() == 1
+            })
+            .await;
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against load hints that are lost, or that one domain does not pass to another.
+#[test]
+fn load_hints_reach_peers_and_the_other_domain() {
+    let keys = Keys::new();
+    block_on(async move {
+        let (entries, _list) = start(&keys, &[("a1", "a"), ("a2", "a"), ("b1", "b")]);
+        let all = targets(3);
+        entries.iter().for_each(|entry| entry.set_revision(Some(revision(1, 7, &all))));
+        until("all are connected", || entries.iter().all(|entry| names(entry).len() >= 2)).await;
+        let known = |entry: &Rc<Entry>| entry.peers.hints.last_heard(all[1]);
+        let mut running = 0;
+        until("the report is everywhere", || {
+            running += 1;
+            entries[0].fleet.borrow_mut().news_mut().load(all[1], report(running));
+            entries[1..].iter().all(|entry| known(entry).is_some())
+        })
+        .await;
+    })
+    .unwrap();
+}
+
+/// Guards against an entry that stays without a document while a peer has it, and against a lower
+/// revision that replaces a higher one.
+#[test]
+fn document_comes_from_the_peer_with_the_highest_revision() {
+    let keys = Keys::new();
+    block_on(async move {
+        let (entries, _list) = start(&keys, &[("old", "a"), ("new", "a"), ("empty", "a")]);
+        let all = targets(1);
+        entries[0].set_revision(Some(revision(4, 44, &all)));
+        entries[1].set_revision(Some(revision(5, 55, &all)));
+        let number =
+            |entry: &Rc<Entry>| entry.revision().map(|revision| (revision.number, revision.nonce));
+        until("all have revision 5", || entries.iter().all(|entry| number(entry) == Some((5, 55))))
+            .await;
+        assert!(!entries[2].install(revision(4, 44, &all)));
+        assert_eq!(number(&entries[2]), Some((5, 55)));
+    })
+    .unwrap();
+}
+
+/// Guards against claim queries that are answered by the wrong entry or never.
+#[test]
+fn claim_query_reaches_the_holder_in_another_domain() {
+    let keys = Keys::new();
+    block_on(async move {
+        let places = [("asks", "a"), ("b1", "b"), ("b2", "b"), ("b3", "b")];
+        let (entries, _list) = start(&keys, &places);
+        for entry in &entries[1..] {
+            let name = entry.settings.name.clone();
+            entry.peers.set_claims(Box::new(move |query: &ClaimQuery| {
+                let body = format!("{name} {}", query.key);
+                let mut answer = Answer::new(StatusCode::CREATED, body);
+                answer.set("cornellink-load", "running=1");
+                ClaimReply::Done { code: Code::Answered, answer }
+            }));
+        }
+        until("the asking entry is connected", || !names(&entries[0]).is_empty()).await;
+        for holder in ["b1", "b2", "b3"] {
+            let mut reply = None;
+            while reply.is_none() {
+                let query = ClaimQuery { key: "k-1".into() };
+                reply = entries[0].peers.ask_claim(holder, query, TIMEOUT).await;
+            }
+            let Some(ClaimReply::Done { code, answer }) = reply else { panic!("{reply:?}") };
+            assert_eq!((code, answer.status), (Code::Answered, StatusCode::CREATED));
+            assert_eq!(answer.body, format!("{holder} k-1"));
+            assert_eq!(answer.header("cornellink-load"), Some("running=1"));
+        }
+    })
+    .unwrap();
+}
+
+/// Guards against a large answer that exceeds the windows of the transport.
+#[test]
+fn claim_reply_carries_the_largest_answer() {
+    let keys = Keys::new();
+    block_on(async move {
+        let (entries, _list) = start(&keys, &[("asks", "a"), ("holds", "a")]);
+        let body = Bytes::from(vec![7u8; 8 * 1024 * 1024]);
+        let whole = body.clone();
+        entries[1].peers.set_claims(Box::new(move |_| {
+            let answer = Answer::new(StatusCode::OK, whole.clone());
+            ClaimReply::Done { code: Code::Answered, answer }
+        }));
+        until("they are connected", || !names(&entries[0]).is_empty()).await;
+        let query = ClaimQuery { key: "large".into() };
+        let reply = entries[0].peers.ask_claim("holds", query, TIMEOUT).await;
+        let Some(ClaimReply::Done { answer, .. }) = reply else { panic!("no answer") };
+        assert!(answer.body == body);
+    })
+    .unwrap();
+}
+
+/// Guards against connections that stay after an entry stops, and against an entry that is not
+/// connected again after a restart.
+#[test]
+fn restarted_entries_find_each_other_again() {
+    let keys = Keys::new();
+    block_on(async move {
+        let addresses = [free_udp(), free_udp()];
+        let start = |index: usize| {
+            let name = ["one", "two"][index];
+            let peers = keys.settings(name, addresses[index], &[addresses[1 - index]]);
+            start_node(name, "a", peers, Rc::default())
+        };
+        let mut entries = [start(0), start(1)];
+        for _ in 0..2 {
+            let connected = |entry: &Rc<Entry>| !names(entry).is_empty();
+            until("they are connected", || entries.iter().all(connected)).await;
+            entries.iter().for_each(|entry| entry.peers.stop());
+            until("they are closed", || entries.iter().all(|entry| !connected(entry))).await;
+            // The old task of each entry frees its socket before the new one binds it.
+            for address in addresses {
+                until("the port is free", || std::net::UdpSocket::bind(address).is_ok()).await;
+            }
+            entries = [start(0), start(1)];
+        }
+        until("they are connected", || entries.iter().all(|entry| !names(entry).is_empty())).await;
+    })
+    .unwrap();
+}
