--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,6 +6,7 @@
 use super::follower;
 use super::observe::Metrics;
 use super::peers::{mesh, Peers};
+use super::recorder::Recorder;
 use super::settings::Settings;
 use super::Result;
 use crate::connection::caller::CallerConnection;
@@ -32,6 +33,7 @@
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
     pub peers: Peers,
+    pub recorder: Recorder,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -46,6 +48,7 @@
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
             peers,
+            recorder: Recorder::default(),
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -110,7 +113,7 @@
 async fn run_peers(entry: Rc<Entry>, vms: Rc<dyn Vms>) {
     if let Err(error) = mesh::run(entry.clone(), vms).await {
         log::error!("the entry runs without peers: {error}");
-        entry.peers.set_fault(&error);
+        entry.peers.set_fault(Some(error.to_string()));
     }
 }
 
@@ -150,10 +153,21 @@
         "/ready" if entry.revision().is_some() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
+        "/trace" if call.method == Method::POST => start_recording(&entry, &call),
+        "/trace" => Answer::new(StatusCode::OK, entry.recorder.trace()),
         _ => Answer::new(StatusCode::NOT_FOUND, ""),
     }
 }
 
+fn start_recording(entry: &Entry, call: &Call) -> Answer {
+    let seconds = call.uri.query().and_then(|query| query.strip_prefix("seconds="));
+    let Some(seconds) = seconds.and_then(|text| text.parse().ok()) else {
+        return Answer::new(StatusCode::BAD_REQUEST, "expected `/trace?seconds=NUMBER`");
+    };
+    entry.recorder.start(Instant::now(), Duration::from_secs(seconds));
+    Answer::new(StatusCode::OK, "recording")
+}
+
 fn status(entry: &Entry) -> String {
     let revision = entry.revision().map(|revision| revision.number);
     let settings = &entry.settings;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod observe;
 pub mod peers;
 pub mod pool;
+pub mod recorder;
 pub mod runtime;
 pub mod settings;
 pub mod target;
--- a/src/process/peers/mesh.rs
+++ b/src/process/peers/mesh.rs
@@ -7,12 +7,11 @@
 use rand::Rng;
 
 use super::message::{Announcement, Message};
-use super::session::{Ending, Session};
+use super::session::Session;
 use super::settings::PeerSettings;
-use super::{document, Peers, VISIT_TIME};
+use super::{dial, document, keys};
 use crate::connection::quic::connection::Connection;
 use crate::connection::quic::endpoint::Endpoint;
-use crate::connection::quic::identity::Identity;
 use crate::platform::vms::{VmRole, Vms};
 use crate::prelude::*;
 use crate::process::entry::Entry;
@@ -20,15 +19,13 @@
 /// Pause between two looks for news.
 const TICK: Duration = Duration::from_millis(20);
 /// Pause between two comparisons of the peers with the ones to be connected.
-const MESH_INTERVAL: Duration = Duration::from_millis(100);
+pub(super) const MESH_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two looks at the key files, the metrics and the peers' certificates.
-const KEY_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause between two reads of the platform's list.
+pub(super) const KEY_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two reads of the platform's list by an entry without peers in its domain.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
-/// Time that the lower address has to connect before the higher one does.
-const DIAL_GRACE: Duration = Duration::from_millis(300);
-/// Bounds of the pause after a failed connection.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+/// Most entries that share the reads of the list, each reading it less often.
+const LIST_READERS: u32 = 4;
 
 /// Connects to peers until the entry stops. Returns at once for an entry without keys.
 pub async fn run(entry: Rc<Entry>, vms: Rc<dyn Vms>) -> super::Result<()> {
@@ -36,11 +33,7 @@
         log::warn!("no keys are configured; the entry runs without peers");
         return Ok(());
     };
-    let identity = Identity::load(&settings.paths())?;
-    if !identity.is_for(&entry.settings.name) {
-        let reason = format!("the certificate is not for `{}`", entry.settings.name);
-        return Err(Error::Key { reason });
-    }
+    let Some(identity) = keys::load(&entry, &settings).await else { return Ok(()) };
     let endpoint = Endpoint::bind(settings.address, identity)?;
     let (stop, mut stopped) = channel::<()>();
     let (sender, accepted) = channel();
@@ -164,7 +157,7 @@
 
     /// Starts tasks for peers that should be connected, and drops connections not needed.
     fn connect(&mut self, now: Instant) {
-        let wanted = wanted(&self.entry.peers, now);
+        let wanted = dial::wanted(&self.entry.peers, now);
         for link in self.entry.peers.links() {
             let is_wanted = wanted.contains(&link.hello.address);
             let is_near = link.hello.domain == self.entry.settings.domain;
@@ -182,7 +175,7 @@
                 let (entry, endpoint) = (self.entry.clone(), self.endpoint.clone());
                 let own = self.settings.address;
                 self.tasks.push(monoio::spawn(async move {
-                    dial(&entry, &endpoint, own, address).await;
+                    dial::dial(&entry, &endpoint, own, address).await;
                     dialling.borrow_mut().remove(&address);
                 }));
             }
@@ -192,7 +185,7 @@
     /// Takes over changed key files, and closes connections whose certificate is not valid.
     fn check_keys(&self) {
         let current = self.endpoint.identity();
-        match Identity::load(&self.settings.paths()) {
+        match keys::load_own(&self.entry.settings.name, &self.settings) {
             Ok(identity) if !identity.is_same(&current) => {
                 log::info!("the key files have changed and are in use");
                 self.entry.metrics.count("cornellink_peer_key_changes_total");
@@ -210,56 +203,6 @@
     }
 }
 
-/// The peers to connect to, with those that a request is for.
-fn wanted(peers: &Peers, now: Instant) -> std::collections::BTreeSet<SocketAddr> {
-    let mut members = peers.members.borrow_mut();
-    let Some(members) = &mut *members else { return Default::default() };
-    for hint in peers.member_hints() {
-        members.connected(&hint, now);
-    }
-    members.expire(now);
-    let mut visits = peers.visits.borrow_mut();
-    visits.retain(|_, time| now.saturating_duration_since(*time) < VISIT_TIME);
-    let mut wanted = members.wanted(now);
-    wanted.extend(visits.keys());
-    wanted
-}
-
-/// Connects to a peer again and again for as long as it is wanted.
-async fn dial(entry: &Rc<Entry>, endpoint: &Rc<Endpoint>, own: SocketAddr, address: SocketAddr) {
-    let mut failures = 0;
-    while !entry.peers.is_stopping() && wanted(&entry.peers, Instant::now()).contains(&address) {
-        if own > address && failures == 0 {
-            monoio::time::sleep(DIAL_GRACE).await;
-        }
-        if entry.peers.links.borrow().contains_key(&address) {
-            monoio::time::sleep(MESH_INTERVAL).await;
-            continue;
-        }
-        let ending = match endpoint.connect(address) {
-            Ok(connection) => Session::new(entry.clone(), connection).run().await,
-            Err(_) => Ending::Lost,
-        };
-        match ending {
-            Ending::Closed => failures = 0,
-            Ending::Lost => {
-                failures += 1;
-                if let Some(members) = &mut *entry.peers.members.borrow_mut() {
-                    members.failed(address, Instant::now());
-                }
-            }
-        }
-        monoio::time::sleep(backoff(failures)).await;
-    }
-}
-
-/// Full jitter below a bound that doubles with each failure.
-fn backoff(failures: u32) -> Duration {
-    let (first, last) = BACKOFF;
-    let bound = first.saturating_mul(1 << failures.min(10)).min(last);
-    rand::rng().random_range(first / 2..=bound)
-}
-
 /// Follows the platform's list until the entry stops.
 async fn follow_list(entry: Rc<Entry>, vms: Rc<dyn Vms>) {
     while !entry.peers.is_stopping() {
@@ -275,6 +218,14 @@
             }
             Err(error) => log::debug!("cannot read the list of VMs: {error}"),
         }
-        monoio::time::sleep(LIST_INTERVAL).await;
+        monoio::time::sleep(list_pause(&entry)).await;
     }
 }
+
+/// Peers of a failure domain tell each other what the list says, so each reads it less often.
+fn list_pause(entry: &Entry) -> Duration {
+    let links = entry.peers.links().into_iter();
+    let near = links.filter(|link| link.hello.domain == entry.settings.domain).count();
+    let readers = (1 + near as u32).min(LIST_READERS);
+    LIST_INTERVAL.mul_f64(f64::from(readers) * rand::rng().random_range(0.75..1.25))
+}
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -1,10 +1,12 @@
 //! What entries tell each other.
 
 pub mod budget;
+pub mod dial;
 pub mod document;
 pub mod frame;
 pub mod handler;
 pub mod hints;
+pub mod keys;
 pub mod link;
 pub mod members;
 pub mod mesh;
@@ -100,8 +102,8 @@
     }
 
     /// Notes why the entry runs without peers in spite of its settings.
-    pub fn set_fault(&self, error: &Error) {
-        self.fault.replace(Some(error.to_string()));
+    pub fn set_fault(&self, fault: Option<String>) {
+        self.fault.replace(fault);
     }
 
     /// Whether the entry is ending its connections.
@@ -109,7 +111,9 @@
         self.is_stopping.get()
     }
 
-    /// Asks the entry called `holder` about a claim; `None` if it cannot be reached in time.
+    /// Asks the entry called `holder` about a claim.
+    ///
+    /// `None` at once if no entry of that name is known, or if it cannot be reached in time.
     pub async fn ask_claim(
         &self,
         holder: &str,
--- /dev/null
+++ b/tests/key_command.rs
@@ -0,0 +1,78 @@
+//! The command `cornellink key`.
+
+mod fixture;
+
+use std::path::PathBuf;
+use std::process::Command;
+
+use cornellink::connection::quic::identity::{Identity, Paths};
+use fixture::keys::Keys;
+
+fn run(arguments: &[&str]) -> (bool, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_cornellink"))
+        .arg("key")
+        .args(arguments)
+        .output()
+        .expect("the program starts");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+}
+
+fn load(authority: PathBuf, folder: &str) -> cornellink::connection::Result<Identity> {
+    Identity::load(&Paths {
+        authority: authority.display().to_string(),
+        certificate: format!("{folder}/entry-1.pem"),
+        key: format!("{folder}/entry-1.key"),
+    })
+}
+
+/// Guards against keys of the command that an entry cannot use, and against keys that are lost
+/// because a second run overwrites them.
+#[test]
+fn keys_can_be_created_renewed_and_bundled() {
+    let folder = Keys::new();
+    let (old, new) = (folder.file("old"), folder.file("new"));
+    let (old, new) = (old.to_str().unwrap(), new.to_str().unwrap());
+    let bundle = folder.file("bundle.pem");
+
+    for out in [old, new] {
+        assert!(run(&["authority", "--environment", "trial", "--out", out]).0);
+        assert!(!run(&["authority", "--environment", "trial", "--out", out]).0);
+    }
+    assert!(!run(&["renew", "entry-1", "--authority", old, "--out", old]).0);
+    assert!(run(&["issue", "entry-1", "--authority", old, "--out", old]).0);
+    assert!(!run(&["issue", "entry-1", "--authority", old, "--out", old]).0);
+    assert!(run(&["renew", "entry-1", "--authority", new, "--out", old, "--days", "7"]).0);
+    let (first, second) = (format!("{old}/authority.pem"), format!("{new}/authority.pem"));
+    assert!(run(&["bundle", &first, &second, "--out", bundle.to_str().unwrap()]).0);
+
+    let identity = load(bundle, old).unwrap();
+    assert!(identity.is_for("entry-1"));
+}
+
+/// Guards against a name that no certificate can carry.
+#[test]
+fn invalid_name_is_refused() {
+    let folder = Keys::new();
+    let out = folder.file("keys");
+    let out = out.to_str().unwrap();
+    assert!(run(&["authority", "--environment", "trial", "--out", out]).0);
+
+    let (is_ok, text) = run(&["issue", "entry.1", "--authority", out, "--out", out]);
+
+    assert!(!is_ok);
+    assert!(text.contains("`entry.1` is not a valid name"), "{text}");
+}
+
+/// Guards against a private key that other users of the machine can read.
+#[test]
+fn private_keys_are_readable_by_their_owner_only() {
+    use std::os::unix::fs::PermissionsExt;
+    let folder = Keys::new();
+    let out = folder.file("keys");
+
+    assert!(run(&["authority", "--environment", "trial", "--out", out.to_str().unwrap()]).0);
+
+    let mode = std::fs::metadata(out.join("authority.key")).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+}
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -165,7 +165,11 @@
         until("the asking entry is connected", || !names(&entries[0]).is_empty()).await;
         for holder in ["b1", "b2", "b3"] {
             let mut reply = None;
+            let end = Instant::now() + TIMEOUT * 3;
             while reply.is_none() {
+                assert!(Instant::now() < end, "gave up waiting for `{holder}`");
+                // An entry whose name is not known yet is refused at once.
+                monoio::time::sleep(Duration::from_millis(5)).await;
                 let query = ClaimQuery { key: "k-1".into() };
                 reply = entries[0].peers.ask_claim(holder, query, TIMEOUT).await;
             }
