--- /dev/null
+++ b/benches/control_cost.rs
@@ -0,0 +1,302 @@
+//! Cost of control work of an entry process against entries, targets, workspaces and changes.
+
+#[path = "../tests/fixture/mod.rs"]
+mod fixture;
+
+use std::cell::Cell;
+use std::fs;
+
+use cornellink::connection::client::Client;
+use cornellink::platform::log::Log;
+use cornellink::platform::stand_in::host::Host;
+use cornellink::platform::stand_in::hosted::{host_platform, host_targets};
+use cornellink::platform::stand_in::service::PlatformService;
+use cornellink::platform::vms::{Vm, VmRole};
+use cornellink::prelude::*;
+use cornellink::process::runtime::block_on;
+use cornellink::request::header;
+use cornellink::version::record::{ConfigRecord, PublishRecord, STREAM};
+use fixture::entry_process::EntryProcess;
+use fixture::keys::{further, Keys};
+use fixture::node::free_udp;
+
+/// Seed of the run; the calls follow a fixed order and draw nothing else.
+const SEED: u64 = 7;
+/// Calls per second through each entry.
+const CALL_RATE: u64 = 100;
+/// Time over which one size is measured.
+const WINDOW: Duration = Duration::from_secs(3);
+/// Time between the start of the calls and the measurement.
+const SETTLE: Duration = Duration::from_millis(700);
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+const TIMEOUT: Duration = Duration::from_secs(10);
+/// Bounds of the design page, section 1.
+const MAX_CORE: f64 = 0.032;
+const MAX_MEGABYTES: f64 = 64.0;
+const MAX_BYTES: f64 = 10_000.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Size {
+    entries: usize,
+    targets: usize,
+    workspaces: usize,
+    /// Changes per second.
+    changes: u64,
+    has_peers: bool,
+    has_calls: bool,
+}
+
+const BASE: Size =
+    Size { entries: 4, targets: 28, workspaces: 4, changes: 0, has_peers: true, has_calls: true };
+
+/// What one entry needs on average.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    /// Share of a core.
+    core: f64,
+    megabytes: f64,
+    /// Bytes per second on the peers' socket, both ways, with the overhead of UDP and IPv4.
+    bytes: f64,
+    datagrams: f64,
+    /// Load hints sent per second.
+    hints: f64,
+}
+
+fn main() {
+    println!("seed {SEED}");
+    let quiet = measure(Size { has_peers: false, has_calls: false, ..BASE });
+    let plain = measure(Size { has_peers: false, ..BASE });
+    let call = (plain.core - quiet.core) / CALL_RATE as f64;
+    let base = measure(BASE);
+    let entries =
+        [base, measure(Size { entries: 8, ..BASE }), measure(Size { entries: 16, ..BASE })];
+    let targets =
+        [base, measure(Size { targets: 112, ..BASE }), measure(Size { targets: 448, ..BASE })];
+    let workspaces = [
+        base,
+        measure(Size { workspaces: 64, ..BASE }),
+        measure(Size { workspaces: 1024, ..BASE }),
+    ];
+    let changes =
+        [base, measure(Size { changes: 1, ..BASE }), measure(Size { changes: 4, ..BASE })];
+
+    let all = [entries, targets, workspaces, changes].concat();
+    let control = |cost: &Cost| cost.core - call * CALL_RATE as f64;
+    let core = all.iter().map(control).fold(0.0, f64::max);
+    let megabytes = all.iter().map(|cost| cost.megabytes).fold(0.0, f64::max);
+    let bytes = all.iter().map(|cost| cost.bytes).fold(0.0, f64::max);
+    let result = serde_json::json!({
+        "bench": "control_cost",
+        "holds": core <= MAX_CORE && megabytes <= MAX_MEGABYTES && bytes <= MAX_BYTES,
+        "core": core, "maxCore": MAX_CORE,
+        "megabytes": megabytes, "maxMegabytes": MAX_MEGABYTES,
+        "bytesPerSecond": bytes, "maxBytesPerSecond": MAX_BYTES,
+        "corePerCall": call,
+        "corePerIdleEntry": quiet.core,
+        "perEntry": slopes(&[4.0, 8.0, 16.0], &entries),
+        "perTarget": slopes(&[28.0, 112.0, 448.0], &targets),
+        "perWorkspace": slopes(&[4.0, 64.0, 1024.0], &workspaces),
+        "perChangePerSecond": slopes(&[0.0, 1.0, 4.0], &changes),
+        "documentBytes": document(&[SocketAddr::from(([127, 0, 0, 1], 10_000)); 28], 4).len(),
+    });
+    println!("{result}");
+}
+
+fn slopes(sizes: &[f64], costs: &[Cost]) -> serde_json::Value {
+    let of = |value: fn(&Cost) -> f64| slope(sizes, &costs.iter().map(value).collect::<Vec<_>>());
+    serde_json::json!({
+        "bytesPerSecond": of(|cost| cost.bytes),
+        "core": of(|cost| cost.core),
+        "datagramsPerSecond": of(|cost| cost.datagrams),
+        "megabytes": of(|cost| cost.megabytes),
+    })
+}
+
+/// Least squares.
+fn slope(x: &[f64], y: &[f64]) -> f64 {
+    let mean = |values: &[f64]| values.iter().sum::<f64>() / values.len() as f64;
+    let (mean_x, mean_y) = (mean(x), mean(y));
+    let pairs = || x.iter().zip(y).map(|(x, y)| (x - mean_x, y - mean_y));
+    pairs().map(|(x, y)| x * y).sum::<f64>() / pairs().map(|(x, _)| x * x).sum::<f64>()
+}
+
+fn measure(size: Size) -> Cost {
+    let (platform, address) =
+        host_platform(Duration::from_secs(3600)).expect("the platform starts");
+    let (_targets, targets) =
+        host_targets(size.targets, 3, Duration::from_millis(1)).expect("the targets start");
+    publish(&platform, 0, &targets, size.workspaces);
+    let keys = Keys::new();
+    let places: Vec<(String, &str, SocketAddr)> = (0..size.entries)
+        .map(|index| (format!("control-{index}"), DOMAINS[index % DOMAINS.len()], free_udp()))
+        .collect();
+    let vm = |(_, domain, address): &(String, &str, SocketAddr)| Vm {
+        address: *address,
+        domain: (*domain).into(),
+        role: VmRole::Entry,
+        leaving: false,
+    };
+    let list: Vec<Vm> = places.iter().map(vm).collect();
+    platform.with(move |service| service.set_vms(list));
+    let start = |(name, domain, own): &(String, &str, SocketAddr)| {
+        let peers = size.has_peers.then(|| keys.settings(name, *own, &[]));
+        EntryProcess::start_with(name, domain, address, further(peers.as_ref()))
+    };
+    let entries: Vec<EntryProcess> = places.iter().map(start).collect();
+    let cost = block_on(run(size, &entries, &platform, &targets)).expect("the runtime starts");
+    println!("{size:?} {cost:?}");
+    cost
+}
+
+async fn run(
+    size: Size,
+    entries: &[EntryProcess],
+    platform: &Host<Rc<PlatformService>>,
+    targets: &[SocketAddr],
+) -> Cost {
+    for entry in entries {
+        wait_ready(entry, size.has_peers).await;
+    }
+    let is_over = Rc::new(Cell::new(false));
+    let callers = entries.iter().filter(|_| size.has_calls);
+    let callers =
+        callers.map(|entry| monoio::spawn(call(entry.listen, size.workspaces, is_over.clone())));
+    let callers: Vec<_> = callers.collect();
+    monoio::time::sleep(SETTLE).await;
+    let before = read(entries).await;
+    let start = Instant::now();
+    let mut published = 0;
+    while start.elapsed() < WINDOW {
+        if published < start.elapsed().as_millis() as u64 * size.changes / 1000 {
+            published += 1;
+            publish(platform, published, targets, size.workspaces);
+        }
+        monoio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let after = read(entries).await;
+    let seconds = start.elapsed().as_secs_f64();
+    is_over.set(true);
+    for caller in callers {
+        caller.await;
+    }
+    let each = seconds * entries.len() as f64;
+    Cost {
+        core: (after.core - before.core) / each,
+        megabytes: after.megabytes / entries.len() as f64,
+        bytes: (after.bytes - before.bytes) / each,
+        datagrams: (after.datagrams - before.datagrams) / each,
+        hints: (after.hints - before.hints) / each,
+    }
+}
+
+/// Sums of all entries' counters.
+async fn read(entries: &[EntryProcess]) -> Cost {
+    let mut sum = Cost::default();
+    for entry in entries {
+        let metrics = get(entry.admin, "/metrics").await;
+        let metrics = String::from_utf8_lossy(&metrics).into_owned();
+        sum.bytes += total(&metrics, "cornellink_peer_bytes_total");
+        sum.datagrams += total(&metrics, "cornellink_peer_datagrams_total");
+        sum.hints += total(&metrics, "cornellink_peer_hints_total");
+        let process = |file: &str| {
+            fs::read_to_string(format!("/proc/{}/{file}", entry.id())).expect("the entry runs")
+        };
+        let schedule = process("schedstat");
+        let nanos = schedule.split(' ').next().and_then(|text| text.parse::<f64>().ok());
+        sum.core += nanos.expect("the kernel counts run time") / 1e9;
+        let status = process("status");
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kilobytes =
+            resident.and_then(|line| line.trim().strip_suffix(" kB")?.parse::<f64>().ok());
+        sum.megabytes += kilobytes.expect("the kernel reports memory") * 1024.0 / 1e6;
+    }
+    sum
+}
+
+fn total(metrics: &str, name: &str) -> f64 {
+    let lines = metrics.lines().filter(|line| line.starts_with(name));
+    lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+}
+
+async fn get(address: SocketAddr, path: &'static str) -> Bytes {
+    let call = Call::new(Method::GET, Uri::from_static(path));
+    let answer = Client::new(address, TIMEOUT).call(&call).await;
+    answer.map(|answer| answer.body).unwrap_or_default()
+}
+
+async fn wait_ready(entry: &EntryProcess, has_peers: bool) {
+    loop {
+        let status = get(entry.admin, "/status").await;
+        let status: serde_json::Value = serde_json::from_slice(&status).unwrap_or_default();
+        let links = status.pointer("/peers/connected").and_then(|links| links.as_array());
+        let is_connected = links.is_some_and(|links| links.len() >= 2);
+        if status["revision"].is_u64() && (is_connected || !has_peers) {
+            return;
+        }
+        monoio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Calls through one entry at a fixed rate, over as few connections as that takes.
+async fn call(entry: SocketAddr, workspaces: usize, is_over: Rc<Cell<bool>>) {
+    let client = Rc::new(Client::new(entry, TIMEOUT));
+    let pause = Duration::from_millis(1000 / CALL_RATE);
+    let mut due = Instant::now();
+    let mut number = 0;
+    while !is_over.get() {
+        number += 1;
+        let mut call = Call::new(Method::GET, Uri::from_static("/tickets/7"));
+        call.set(header::WORKSPACE, &format!("w{}", number % workspaces));
+        let client = client.clone();
+        monoio::spawn(async move {
+            let _ = client.call(&call).await;
+        });
+        due += pause;
+        monoio::time::sleep_until(due.into()).await;
+    }
+}
+
+fn publish(
+    platform: &Host<Rc<PlatformService>>,
+    replaces: u64,
+    targets: &[SocketAddr],
+    workspaces: usize,
+) {
+    let record = ConfigRecord::Publish(PublishRecord {
+        format: 1,
+        environment: "trial".into(),
+        author: "bench".into(),
+        nonce: replaces + 1,
+        replaces,
+        text: document(targets, workspaces),
+    });
+    let record = record.encode();
+    platform.with(move |service| {
+        let log = service.log.clone();
+        monoio::spawn(async move { log.append(STREAM, vec![record]).await });
+    });
+}
+
+fn document(targets: &[SocketAddr], workspaces: usize) -> String {
+    let places = targets.iter().enumerate();
+    let targets = places.map(|(index, address)| {
+        serde_json::json!({ "address": address, "domain": DOMAINS[index % DOMAINS.len()] })
+    });
+    let workspaces = (0..workspaces).map(|index| {
+        serde_json::json!({ "name": format!("w{index}"), "weight": 1, "retryPercent": 10.0 })
+    });
+    let document = serde_json::json!({
+        "format": 1,
+        "environment": "trial",
+        "maxEntries": 16,
+        "workspaces": workspaces.collect::<Vec<_>>(),
+        "services": [{
+            "name": "tickets", "prefix": "/tickets", "policy": "round_robin", "slots": 3,
+            "connections": 200, "queue": 100, "probePercent": 1.0, "probeCostMs": 6,
+            "classes": [{ "name": "lookup", "methods": ["GET"], "prefix": "/",
+                          "deadlineMs": 1000, "idempotent": true }],
+            "targets": targets.collect::<Vec<_>>(),
+        }],
+    });
+    document.to_string()
+}
--- a/src/command/key.rs
+++ b/src/command/key.rs
@@ -6,6 +6,8 @@
 use clap::{value_parser, Arg, ArgMatches, Command};
 
 use super::authority::{replace, Pair};
+use super::exit::Exit;
+use super::Result;
 use crate::prelude::*;
 
 /// Seconds of a day.
@@ -56,13 +58,13 @@
 }
 
 /// Runs the command.
-pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+pub fn run(matches: &ArgMatches) -> Result<Exit> {
     match matches.subcommand() {
         Some(("authority", matches)) => authority(matches),
         Some(("issue", matches)) => issue(matches, false),
         Some(("renew", matches)) => issue(matches, true),
         Some(("bundle", matches)) => bundle(matches),
-        _ => Ok(()),
+        _ => Ok(Exit::Done),
     }
 }
 
@@ -93,46 +95,49 @@
     Arg::new("out").long("out").required(true).value_parser(value_parser!(PathBuf)).help(help)
 }
 
-fn authority(matches: &ArgMatches) -> eyre::Result<()> {
+fn authority(matches: &ArgMatches) -> Result<Exit> {
     let environment: &String = matches.get_one("environment").expect("it is required");
     let stem = directory(matches)?.join(AUTHORITY);
     refuse_existing(&stem)?;
     Pair::authority(environment, validity(matches))?.write(&stem)?;
     println!("created `{0}.pem` and `{0}.key`", stem.display());
-    Ok(())
+    Ok(Exit::Done)
 }
 
-fn issue(matches: &ArgMatches, is_renewal: bool) -> eyre::Result<()> {
+fn issue(matches: &ArgMatches, is_renewal: bool) -> Result<Exit> {
     let entry: &String = matches.get_one("entry").expect("it is required");
     let authority: &PathBuf = matches.get_one("authority").expect("it is required");
     let stem = directory(matches)?.join(entry);
     if is_renewal {
-        eyre::ensure!(exists(&stem), "`{}.pem` does not exist; use `issue`", stem.display());
+        if !exists(&stem) {
+            return Err(refused(format!("`{}.pem` does not exist; use `issue`", stem.display())));
+        }
     } else {
         refuse_existing(&stem)?;
     }
     let authority = Pair::read(&authority.join(AUTHORITY))?;
     authority.issue(entry, validity(matches))?.write(&stem)?;
     println!("wrote `{0}.pem` and `{0}.key`", stem.display());
-    Ok(())
+    Ok(Exit::Done)
 }
 
-fn bundle(matches: &ArgMatches) -> eyre::Result<()> {
+fn bundle(matches: &ArgMatches) -> Result<Exit> {
     let paths = matches.get_many::<PathBuf>("authorities").expect("one is required");
     let mut text = String::new();
     for path in paths {
-        text.push_str(fs::read_to_string(path)?.trim_end());
+        let part = fs::read_to_string(path).map_err(|source| failed(path, source))?;
+        text.push_str(part.trim_end());
         text.push('\n');
     }
     let out: &PathBuf = matches.get_one("out").expect("it is required");
     replace(out, &text, 0o644)?;
     println!("wrote `{}`", out.display());
-    Ok(())
+    Ok(Exit::Done)
 }
 
-fn directory(matches: &ArgMatches) -> eyre::Result<PathBuf> {
+fn directory(matches: &ArgMatches) -> Result<PathBuf> {
     let out: &PathBuf = matches.get_one("out").expect("it is required");
-    fs::create_dir_all(out)?;
+    fs::create_dir_all(out).map_err(|source| failed(out, source))?;
     Ok(out.clone())
 }
 
@@ -145,7 +150,17 @@
     stem.with_extension("pem").exists() || stem.with_extension("key").exists()
 }
 
-fn refuse_existing(stem: &Path) -> eyre::Result<()> {
-    eyre::ensure!(!exists(stem), "`{}.pem` exists already", stem.display());
+fn refuse_existing(stem: &Path) -> Result<()> {
+    if exists(stem) {
+        return Err(refused(format!("`{}.pem` exists already", stem.display())));
+    }
     Ok(())
 }
+
+fn refused(reason: String) -> Error {
+    Error::Key { reason }
+}
+
+fn failed(path: &Path, source: std::io::Error) -> Error {
+    Error::File { path: path.display().to_string(), source }
+}
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -1,24 +1,24 @@
 //! The entry: its state and its listeners.
 
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::TcpListener;
 
+use super::callers::Callers;
+use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
 use super::peers::{mesh, Peers};
 use super::recorder::Recorder;
 use super::settings::Settings;
+use super::shutdown::{Shutdown, Signals};
 use super::Result;
-use crate::connection::caller::CallerConnection;
-use crate::connection::guard::Fault;
-use crate::connection::limits::Limits;
 use crate::connection::server;
+use crate::connection::tasks::Tasks;
 use crate::platform::http_log::HttpLog;
 use crate::platform::http_vms::HttpVms;
 use crate::platform::log::Log;
-use crate::platform::vms::Vms;
 use crate::prelude::*;
-use crate::request::dispatch;
+use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
@@ -30,10 +30,12 @@
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
+    pub configuration: Configuration,
     pub fleet: RefCell<Fleet>,
     pub metrics: Metrics,
     pub peers: Peers,
     pub recorder: Recorder,
+    pub shutdown: Shutdown,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -45,10 +47,12 @@
         let peers = Peers::new(&settings);
         Self {
             settings,
+            configuration: Configuration::default(),
             fleet: RefCell::new(Fleet::new(seed)),
             metrics: Metrics::default(),
             peers,
             recorder: Recorder::default(),
+            shutdown: Shutdown::default(),
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -67,13 +71,9 @@
         self.revision.replace(revision);
     }
 
-    /// Puts a revision in force that a peer gave, if its number is higher; the log is not asked.
-    pub fn install(&self, revision: Rc<Revision>) -> bool {
-        if self.revision().is_some_and(|current| current.number >= revision.number) {
-            return false;
-        }
-        self.set_revision(Some(revision));
-        true
+    /// Whether the entry takes new callers.
+    pub fn is_ready(&self) -> bool {
+        self.revision.borrow().is_some() && !self.shutdown.is_requested()
     }
 
     /// A new call identifier, unique in the environment.
@@ -83,15 +83,25 @@
     }
 }
 
-/// Serves callers until the process ends.
+/// Serves callers until a signal asks for the end.
 pub async fn serve(settings: Settings) -> Result<()> {
+    let signals = Signals::catch()?;
     let listener = server::bind(settings.listen)?;
     let admin = server::bind(settings.admin)?;
     let log: Rc<dyn Log> = Rc::new(HttpLog::new(settings.platform, APPEND_TIMEOUT));
-    run(Rc::new(Entry::new(settings)), listener, admin, log).await
+    let entry = Rc::new(Entry::new(settings));
+    let state = entry.clone();
+    let waiter = Tasks::default();
+    waiter.spawn(async move {
+        signals.received().await;
+        state.shutdown.request();
+    });
+    let result = run(entry, listener, admin, log).await;
+    waiter.join().await;
+    result
 }
 
-/// Serves on listeners that are bound already.
+/// Serves on listeners that are bound already, until a shutdown is requested and complete.
 pub async fn run(
     entry: Rc<Entry>,
     listener: TcpListener,
@@ -99,59 +109,38 @@
     log: Rc<dyn Log>,
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
-    monoio::spawn(follower::follow(entry.clone(), log));
-    let vms = Rc::new(HttpVms::new(entry.settings.platform, LIST_TIMEOUT));
-    monoio::spawn(run_peers(entry.clone(), vms));
+    let background = Tasks::default();
+    background.spawn(follower::follow(entry.clone(), log));
     let state = entry.clone();
-    monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
-    loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
-        monoio::spawn(serve_caller(entry.clone(), stream));
-    }
+    background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
+    let peers = Tasks::default();
+    peers.spawn(run_peers(entry.clone()));
+    Callers::new(entry.clone(), listener).serve().await;
+    entry.peers.stop();
+    peers.join().await;
+    background.stop();
+    background.join().await;
+    log::info!(name = entry.settings.name.as_str(); "entry stopped");
+    Ok(())
 }
 
-async fn run_peers(entry: Rc<Entry>, vms: Rc<dyn Vms>) {
+async fn run_peers(entry: Rc<Entry>) {
+    let vms = Rc::new(HttpVms::new(entry.settings.platform, LIST_TIMEOUT));
     if let Err(error) = mesh::run(entry.clone(), vms).await {
         log::error!("the entry runs without peers: {error}");
         entry.peers.set_fault(Some(error.to_string()));
     }
 }
 
-async fn serve_caller(entry: Rc<Entry>, stream: TcpStream) {
-    let mut connection = CallerConnection::new(stream, Limits::default());
-    loop {
-        let call = match connection.next().await {
-            Ok(call) => call,
-            Err(fault) => return refuse(connection, fault).await,
-        };
-        let answer = monoio::select! {
-            answer = dispatch::dispatch(&entry, call) => answer,
-            () = connection.closed() => return,
-        };
-        if connection.answer(answer).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn refuse(mut connection: CallerConnection, fault: Fault) {
-    let code = match fault {
-        Fault::Closed => return,
-        Fault::Truncated => Code::MalformedTruncated,
-        Fault::HeadTooLarge => Code::MalformedHead,
-        Fault::TooSlow => Code::MalformedSlow,
-        Fault::Framing => Code::MalformedFraming,
-        Fault::BodyTooLarge => Code::MalformedBody,
-    };
-    connection.close_after_answer();
-    let _ = connection.answer(Answer::own(code)).await;
-}
-
 async fn handle_admin(entry: Rc<Entry>, call: Call) -> Answer {
     match call.uri.path() {
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
-        "/ready" if entry.revision().is_some() => Answer::new(StatusCode::OK, "ready"),
+        "/ready" if entry.is_ready() => Answer::new(StatusCode::OK, "ready"),
         "/ready" => Answer::own(Code::NotReady),
+        "/revision" => match entry.configuration.base() {
+            Some(base) => Answer::new(StatusCode::OK, ConfigRecord::Renew(base).encode()),
+            None => Answer::own(Code::NotReady),
+        },
         "/status" => Answer::new(StatusCode::OK, status(&entry)),
         "/trace" if call.method == Method::POST => start_recording(&entry, &call),
         "/trace" => Answer::new(StatusCode::OK, entry.recorder.trace()),
@@ -176,6 +165,8 @@
         "domain": settings.domain,
         "peers": entry.peers.status(),
         "revision": revision,
+        "ready": revision.is_some(),
+        "configuration": entry.configuration.status(),
     });
     status.to_string()
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,8 @@
 //! What lives for the process of an entry.
 
+pub mod caller_settings;
+pub mod callers;
+pub mod configuration;
 pub mod entry;
 pub mod fleet;
 pub mod follower;
@@ -11,6 +14,7 @@
 pub mod recorder;
 pub mod runtime;
 pub mod settings;
+pub mod shutdown;
 pub mod target;
 
 use eyre::WrapErr;
--- a/src/process/peers/dial.rs
+++ b/src/process/peers/dial.rs
@@ -60,6 +60,9 @@
                 }
             }
         }
+        if entry.peers.is_stopping() {
+            return;
+        }
         monoio::time::sleep(backoff(failures)).await;
     }
 }
--- a/src/process/peers/document.rs
+++ b/src/process/peers/document.rs
@@ -1,12 +1,12 @@
 //! The document from a peer, when the log does not give it.
 
 use super::link::Link;
-use super::message::{Announcement, DocumentReply, Reply, Request};
+use super::message::{Announcement, Reply, Request};
 use super::{Peers, Result};
 use crate::prelude::*;
 use crate::process::entry::Entry;
-use crate::version::parse::parse;
-use crate::version::revision::Revision;
+use crate::process::follower;
+use crate::version::record::RenewRecord;
 
 /// Time that the log has to deliver a revision before a peer is asked for it.
 const LOG_TIME: Duration = Duration::from_millis(500);
@@ -51,20 +51,17 @@
     let Ok(Some(Reply::Document(reply))) = asked else {
         return Err(Error::Connection { reason: "the peer gave no document".into() });
     };
-    let revision = prove(reply, announcement)?;
-    if entry.install(Rc::new(revision)) {
-        log::info!("revision `{}` installed from peer `{}`", announcement.number, link.hello.name);
+    prove(&reply, announcement)?;
+    if follower::install(entry, &reply) {
         entry.metrics.count("cornellink_peer_documents_total");
     }
     Ok(())
 }
 
-/// Checks that a document is the announced one and valid.
-pub fn prove(reply: DocumentReply, announcement: Announcement) -> Result<Revision> {
-    let DocumentReply { number, nonce, author, text } = reply;
-    if (number, nonce) != (announcement.number, announcement.nonce) {
-        return Err(Error::Connection { reason: "the document is of another revision".into() });
+/// Checks that a document is the announced one.
+fn prove(reply: &RenewRecord, announcement: Announcement) -> Result<()> {
+    if (reply.number, reply.nonce) == (announcement.number, announcement.nonce) {
+        return Ok(());
     }
-    let document = parse(&text)?;
-    Ok(Revision { number, nonce, author, text, document })
+    Err(Error::Connection { reason: "the document is of another revision".into() })
 }
--- a/src/process/peers/handler.rs
+++ b/src/process/peers/handler.rs
@@ -1,7 +1,7 @@
 //! What an entry does with a peer's messages.
 
 use super::link::Link;
-use super::message::{DocumentReply, Loads, Message, Reply, Request};
+use super::message::{Loads, Message, Reply, Request};
 use crate::prelude::*;
 use crate::process::entry::Entry;
 
@@ -55,13 +55,6 @@
 }
 
 fn document(entry: &Entry, number: u64) -> Reply {
-    let Some(revision) = entry.revision().filter(|revision| revision.number == number) else {
-        return Reply::Missing;
-    };
-    Reply::Document(DocumentReply {
-        number,
-        nonce: revision.nonce,
-        author: revision.author.clone(),
-        text: revision.text.clone(),
-    })
+    let base = entry.configuration.base().filter(|base| base.number == number);
+    base.map_or(Reply::Missing, Reply::Document)
 }
--- a/src/process/peers/mesh.rs
+++ b/src/process/peers/mesh.rs
@@ -3,21 +3,23 @@
 use std::collections::HashSet;
 
 use local_sync::mpsc::unbounded::{channel, Rx};
-use monoio::task::JoinHandle;
 use rand::Rng;
 
 use super::message::{Announcement, Message};
 use super::session::Session;
 use super::settings::PeerSettings;
-use super::{dial, document, keys};
+use super::{announcement, dial, document, keys};
 use crate::connection::quic::connection::Connection;
 use crate::connection::quic::endpoint::Endpoint;
+use crate::connection::tasks::Tasks;
 use crate::platform::vms::{VmRole, Vms};
 use crate::prelude::*;
 use crate::process::entry::Entry;
 
 /// Pause between two looks for news.
 const TICK: Duration = Duration::from_millis(20);
+/// Longest wait for connections to close at the end.
+const PART_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause between two comparisons of the peers with the ones to be connected.
 pub(super) const MESH_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two looks at the key files, the metrics and the peers' certificates.
@@ -35,22 +37,14 @@
     };
     let Some(identity) = keys::load(&entry, &settings).await else { return Ok(()) };
     let endpoint = Endpoint::bind(settings.address, identity)?;
-    let (stop, mut stopped) = channel::<()>();
     let (sender, accepted) = channel();
-    let socket = endpoint.clone();
-    let reader = monoio::spawn(async move {
-        monoio::select! {
-            () = socket.read(sender) => {}
-            _ = stopped.recv() => {}
-        }
-    });
-    let list = monoio::spawn(follow_list(entry.clone(), vms));
-    let documents = monoio::spawn(document::follow(entry.clone()));
+    let tasks = Tasks::default();
+    tasks.spawn(endpoint.clone().read(sender));
+    tasks.spawn(follow_list(entry.clone(), vms));
+    tasks.spawn(document::follow(entry.clone()));
     Mesh::new(entry, endpoint, settings, accepted).run().await;
-    list.await;
-    documents.await;
-    drop(stop);
-    reader.await;
+    tasks.stop();
+    tasks.join().await;
     Ok(())
 }
 
@@ -63,7 +57,7 @@
     entry: Rc<Entry>,
     meshed: Instant,
     settings: PeerSettings,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Tasks,
 }
 
 impl Mesh {
@@ -82,7 +76,7 @@
             entry,
             meshed: Instant::now() - MESH_INTERVAL,
             settings,
-            tasks: Vec::new(),
+            tasks: Tasks::default(),
         }
     }
 
@@ -95,13 +89,21 @@
             };
             if let Some(connection) = accepted {
                 let session = Session::new(self.entry.clone(), connection);
-                self.tasks.push(monoio::spawn(async move {
+                self.tasks.spawn(async move {
                     session.run().await;
-                }));
+                });
             }
         }
-        for task in self.tasks {
-            task.await;
+        self.part().await;
+        self.tasks.stop();
+        self.tasks.join().await;
+    }
+
+    /// Waits until the connections have told their peers of the end.
+    async fn part(&self) {
+        let end = Instant::now() + PART_TIMEOUT;
+        while !self.entry.peers.links().is_empty() && Instant::now() < end {
+            monoio::time::sleep(Duration::from_millis(1)).await;
         }
     }
 
@@ -116,20 +118,22 @@
             self.checked = now;
             self.check_keys();
             self.entry.metrics.peer_traffic(&self.endpoint.traffic);
-            self.tasks.retain(|task| !task.is_finished());
         }
     }
 
     /// Tells peers of a revision that has come into force.
     fn announce(&mut self) {
-        let Some(revision) = self.entry.revision() else { return };
-        let latest = Announcement { number: revision.number, nonce: revision.nonce };
-        if self.announced == Some(latest) {
+        let Some(latest) = announcement(&self.entry) else { return };
+        let is_known =
+            |known: Announcement| (known.number, known.nonce) == (latest.number, latest.nonce);
+        if self.announced.is_some_and(is_known) {
             return;
         }
         self.announced = Some(latest);
         let peers = &self.entry.peers;
-        peers.hints.apply(&revision, &peers.links());
+        if let Some(revision) = self.entry.revision() {
+            peers.hints.apply(&revision, &peers.links());
+        }
         peers.broadcast(&Message::Revision(latest));
     }
 
@@ -174,10 +178,10 @@
                 let dialling = self.dialling.clone();
                 let (entry, endpoint) = (self.entry.clone(), self.endpoint.clone());
                 let own = self.settings.address;
-                self.tasks.push(monoio::spawn(async move {
+                self.tasks.spawn(async move {
                     dial::dial(&entry, &endpoint, own, address).await;
                     dialling.borrow_mut().remove(&address);
-                }));
+                });
             }
         }
     }
--- a/src/process/peers/message.rs
+++ b/src/process/peers/message.rs
@@ -2,6 +2,7 @@
 
 use crate::prelude::*;
 use crate::process::target::LoadReport;
+use crate::version::record::RenewRecord;
 
 /// Version of the protocol that this program speaks.
 pub const PROTOCOL: u16 = 1;
@@ -46,6 +47,8 @@
 pub struct Announcement {
     pub number: u64,
     pub nonce: u64,
+    /// Offset through which the sender had read the stream `config`.
+    pub through: u64,
 }
 
 /// A load report of a target, named by its place in the revision's document.
@@ -107,20 +110,11 @@
     },
 }
 
-/// A document that was accepted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DocumentReply {
-    pub number: u64,
-    pub nonce: u64,
-    pub author: String,
-    pub text: String,
-}
-
 /// The reply to a request.
 #[derive(Clone, Debug)]
 pub enum Reply {
     Claim(ClaimReply),
-    Document(DocumentReply),
+    Document(RenewRecord),
     /// The peer cannot serve the request.
     Missing,
 }
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -214,8 +214,7 @@
 
     /// Tells a new peer what the others know already.
     fn introduce(&self, entry: &Entry, link: &Link) {
-        if let Some(revision) = entry.revision() {
-            let announcement = Announcement { number: revision.number, nonce: revision.nonce };
+        if let Some(announcement) = announcement(entry) {
             link.outbox.send(&Message::Revision(announcement));
         }
         for hints in self.member_hints().chunks(MAX_HINTS) {
@@ -286,3 +285,11 @@
         serde_json::json!({ "enabled": true, "connected": names, "known": members.len() })
     }
 }
+
+/// What an entry tells its peers of its revision.
+fn announcement(entry: &Entry) -> Option<Announcement> {
+    let history = entry.configuration.history();
+    let revision = history.current().filter(|_| history.is_known())?;
+    let through = history.next().checked_sub(1)?;
+    Some(Announcement { number: revision.number, nonce: revision.nonce, through })
+}
--- a/src/process/peers/request_wire.rs
+++ b/src/process/peers/request_wire.rs
@@ -3,10 +3,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::frame::{malformed, Frame};
-use super::message::{ClaimQuery, ClaimReply, DocumentReply, Reply, Request};
+use super::message::{ClaimQuery, ClaimReply, Reply, Request};
 use super::wire::{frame, payload};
 use super::Result;
 use crate::prelude::*;
+use crate::version::record::RenewRecord;
 
 const CLAIM: u16 = 32;
 const DOCUMENT: u16 = 33;
@@ -26,9 +27,11 @@
 
 #[derive(Deserialize, Serialize)]
 struct DocumentReplyWire {
+    format: u32,
     number: u64,
     nonce: u64,
     author: String,
+    through: u64,
     text: String,
 }
 
@@ -89,17 +92,17 @@
     }
 }
 
-impl From<&DocumentReply> for DocumentReplyWire {
-    fn from(reply: &DocumentReply) -> Self {
-        let DocumentReply { number, nonce, author, text } = reply.clone();
-        Self { number, nonce, author, text }
+impl From<&RenewRecord> for DocumentReplyWire {
+    fn from(reply: &RenewRecord) -> Self {
+        let RenewRecord { format, number, nonce, author, through, text } = reply.clone();
+        Self { format, number, nonce, author, through, text }
     }
 }
 
-impl From<DocumentReplyWire> for DocumentReply {
+impl From<DocumentReplyWire> for RenewRecord {
     fn from(wire: DocumentReplyWire) -> Self {
-        let DocumentReplyWire { number, nonce, author, text } = wire;
-        Self { number, nonce, author, text }
+        let DocumentReplyWire { format, number, nonce, author, through, text } = wire;
+        Self { format, number, nonce, author, through, text }
     }
 }
 
--- a/src/process/peers/wire.rs
+++ b/src/process/peers/wire.rs
@@ -43,6 +43,7 @@
 struct RevisionWire {
     number: u64,
     nonce: u64,
+    through: u64,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -178,13 +179,14 @@
 
 impl From<&Announcement> for RevisionWire {
     fn from(announcement: &Announcement) -> Self {
-        Self { number: announcement.number, nonce: announcement.nonce }
+        let Announcement { number, nonce, through } = *announcement;
+        Self { number, nonce, through }
     }
 }
 
 impl From<RevisionWire> for Announcement {
     fn from(wire: RevisionWire) -> Self {
-        Self { number: wire.number, nonce: wire.nonce }
+        Self { number: wire.number, nonce: wire.nonce, through: wire.through }
     }
 }
 
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -1,7 +1,8 @@
 //! Sends a call to a target and decides what the caller is told.
 
 use super::header;
-use crate::connection::guard::Fault;
+use crate::connection::fault::{Fault, Lost};
+use crate::connection::forward::clean_answer;
 use crate::prelude::*;
 use crate::process::entry::Entry;
 use crate::process::recorder::Recorded;
@@ -91,9 +92,11 @@
     call.set(header::CLASS, &matched.class().name);
     let mut tried = Vec::new();
     let mut number = 1;
+    // Once an attempt may have run, no later attempt can make the call "not run".
+    let mut unknown = None;
     loop {
         if matched.deadline.has_passed(Instant::now()) {
-            return Answer::own(Code::NotRunDeadline);
+            return Answer::own(unknown.unwrap_or(Code::NotRunDeadline));
         }
         call.set(header::ATTEMPT, &number.to_string());
         let left = matched.deadline.left(Instant::now()).as_millis();
@@ -105,10 +108,11 @@
                 return answer;
             }
             Attempt::Unknown(code) if !matched.class().idempotent => return Answer::own(code),
-            Attempt::NotRun(code) | Attempt::Unknown(code) => code,
+            Attempt::Unknown(code) => *unknown.insert(code),
+            Attempt::NotRun(code) => code,
         };
         if number == MAX_ATTEMPTS || code == Code::NotRunNoTarget {
-            return Answer::own(code);
+            return Answer::own(unknown.unwrap_or(code));
         }
         entry.metrics.count("cornellink_retries_total");
         number += 1;
@@ -136,15 +140,20 @@
     let left = matched.deadline.left(Instant::now());
     let exchange = lease.connection().exchange(call);
     match monoio::time::timeout(left, exchange).await {
+        Err(_) if !lease.connection().has_sent() => Attempt::NotRun(Code::NotRunDeadline),
         Err(_) => Attempt::Unknown(Code::UnknownDeadline),
-        Ok(Err(Fault::Closed)) => Attempt::Unknown(Code::UnknownConnection),
+        Ok(Err(Lost { sent: false, .. })) => Attempt::NotRun(Code::NotRunConnect),
+        Ok(Err(Lost { fault: Fault::Closed, .. })) => Attempt::Unknown(Code::UnknownConnection),
         Ok(Err(_)) => Attempt::Unknown(Code::UnknownAnswer),
-        Ok(Ok(answer)) => {
+        Ok(Ok(mut answer)) => {
             slot.report = answer.header(header::LOAD).and_then(LoadReport::parse);
             slot.draining = answer.header(header::DRAINING) == Some("1");
-            if answer.header(header::REFUSED).is_some() {
+            let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE
+                && answer.headers.contains_key(header::REFUSED);
+            if is_refused {
                 return Attempt::NotRun(Code::NotRunRefused);
             }
+            clean_answer(&mut answer.headers);
             Attempt::Answered(answer)
         }
     }
