--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' command line.
 
+pub mod authority;
 pub mod check;
 pub mod codes;
 pub mod diff;
@@ -8,6 +9,7 @@
 pub mod explain;
 pub mod fields;
 pub mod history;
+pub mod key;
 pub mod options;
 pub mod promote;
 pub mod publication;
@@ -36,6 +38,7 @@
         Some(("explain", matches)) => explain::run(matches),
         Some(("fields", matches)) => fields::run(matches),
         Some(("history", matches)) => history::run(matches),
+        Some(("key", matches)) => key::run(matches),
         Some(("promote", matches)) => promote::run(matches),
         Some(("publish", matches)) => publish::run(matches),
         Some(("status", matches)) => status::run(matches),
@@ -44,7 +47,7 @@
     let exit = outcome.unwrap_or_else(|error| {
         eprintln!("{error}");
         match error {
-            Error::Invalid { .. } => Exit::Refused,
+            Error::Invalid { .. } | Error::Key { .. } => Exit::Refused,
             _ => Exit::Unreachable,
         }
     });
@@ -64,6 +67,7 @@
             explain::command(),
             fields::command(),
             history::command(),
+            key::command(),
             promote::command(),
             publish::command(),
             status::command(),
--- a/src/error.rs
+++ b/src/error.rs
@@ -19,6 +19,10 @@
     Document { problems: Vec<String> },
     /// A file could not be read or written.
     File { path: String, source: io::Error },
+    /// A key or a certificate cannot be used.
+    Key { reason: String },
+    /// A peer sent a message that breaks the protocol.
+    Malformed { reason: String },
     /// A text failed the checks of its schema.
     Invalid { problems: Vec<Problem> },
     /// The platform gave an answer that does not follow its protocol.
@@ -41,6 +45,8 @@
             Self::Connection { reason } => write!(f, "connection failed: {reason}"),
             Self::Document { problems } => write!(f, "{}", problems.join("\n")),
             Self::File { path, source } => write!(f, "cannot access `{path}`: {source}"),
+            Self::Key { reason } => write!(f, "cannot use the keys: {reason}"),
+            Self::Malformed { reason } => write!(f, "malformed message: {reason}"),
             Self::Invalid { problems } => {
                 let lines: Vec<String> = problems.iter().map(Problem::to_string).collect();
                 f.write_str(&lines.join("\n"))
@@ -63,6 +69,8 @@
             | Self::Signal { source } => Some(source),
             Self::Connection { .. }
             | Self::Document { .. }
+            | Self::Key { .. }
+            | Self::Malformed { .. }
             | Self::Invalid { .. }
             | Self::Platform { .. }
             | Self::PlatformTimeout => None,
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -8,6 +8,7 @@
 use super::follower;
 use super::grant;
 use super::observe::Metrics;
+use super::peers::{mesh, Peers};
 use super::recorder::Recorder;
 use super::settings::Settings;
 use super::shutdown::{Shutdown, Signals};
@@ -34,6 +35,7 @@
     pub configuration: Configuration,
     pub fleet: Rc<RefCell<Fleet>>,
     pub metrics: Metrics,
+    pub peers: Peers,
     pub recorder: Recorder,
     pub shutdown: Shutdown,
     revision: RefCell<Option<Rc<Revision>>>,
@@ -44,11 +46,13 @@
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
         let fleet = Fleet::new(&settings.name, &settings.domain);
+        let peers = Peers::new(&settings);
         Self {
             settings,
             configuration: Configuration::default(),
             fleet: Rc::new(RefCell::new(fleet)),
             metrics: Metrics::default(),
+            peers,
             recorder: Recorder::default(),
             shutdown: Shutdown::default(),
             revision: RefCell::default(),
@@ -74,6 +78,11 @@
         self.revision.borrow().is_some() && !self.shutdown.is_requested()
     }
 
+    /// The address by which the list of VMs names this entry.
+    pub fn listed_address(&self) -> SocketAddr {
+        self.settings.peers.as_ref().map_or(self.settings.listen, |peers| peers.address)
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -114,13 +123,24 @@
     background.spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
     background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
+    let peers = Tasks::default();
+    peers.spawn(run_peers(entry.clone()));
     Callers::new(entry.clone(), listener).serve().await;
+    entry.peers.stop();
+    peers.join().await;
     background.stop();
     background.join().await;
     log::info!(name = entry.settings.name.as_str(); "entry stopped");
     Ok(())
 }
 
+async fn run_peers(entry: Rc<Entry>) {
+    if let Err(error) = mesh::run(entry.clone()).await {
+        log::error!("the entry runs without peers: {error}");
+        entry.peers.set_fault(Some(error.to_string()));
+    }
+}
+
 async fn handle_admin(entry: Rc<Entry>, call: Call) -> Answer {
     match call.uri.path() {
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
@@ -152,6 +172,7 @@
     let status = serde_json::json!({
         "name": settings.name,
         "domain": settings.domain,
+        "peers": entry.peers.status(),
         "revision": revision,
         "ready": revision.is_some(),
         "configuration": entry.configuration.status(),
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -9,11 +9,12 @@
 
 use super::budget::Budget;
 use super::health::Health;
+use super::news::News;
 use super::pool::Pool;
 use super::queue::FlowKey;
 use super::service::{ServiceId, ServiceState};
 use super::share::{long_slots, Place};
-use super::target::{Target, TargetKey};
+use super::target::{LoadReport, Target, TargetKey};
 use crate::platform::vms::{Vm, VmRole};
 use crate::prelude::*;
 use crate::version::document::Document;
@@ -36,6 +37,8 @@
     addresses: HashMap<SocketAddr, TargetKey>,
     names: HashMap<String, ServiceId>,
     budgets: HashMap<FlowKey, Budget>,
+    /// What peers do not know yet.
+    pub(super) news: News,
 }
 
 impl Fleet {
@@ -54,6 +57,7 @@
             addresses: HashMap::new(),
             names: HashMap::new(),
             budgets: HashMap::new(),
+            news: News::default(),
         }
     }
 
@@ -165,10 +169,29 @@
         self.addresses.get(&address).copied()
     }
 
-    /// Takes a sign, from wherever it comes, that a target leaves.
+    /// Takes a sign, from wherever it comes, that a target leaves; the first one is news for peers.
     pub fn leave(&mut self, address: SocketAddr, now: Instant) {
         let Some(target) = self.target(address) else { return };
-        self.targets[target].leaving.leave(now);
+        let leaving = &mut self.targets[target].leaving;
+        if !leaving.is_leaving() {
+            self.news.leave(address);
+        }
+        leaving.leave(now);
+    }
+
+    /// Takes a peer's load report of a target; `age` is the time since the target sent it.
+    pub fn hint(&mut self, address: SocketAddr, report: LoadReport, age: Duration) {
+        let Some(key) = self.target(address) else { return };
+        let Some(at) = Instant::now().checked_sub(age) else { return };
+        let target = &mut self.targets[key];
+        if target.others.is_older(at) {
+            target.others.observe(report.total(), target.flights.len(), target.slots, at);
+        }
+    }
+
+    /// Takes what peers do not know yet.
+    pub fn take_news(&mut self) -> News {
+        std::mem::take(&mut self.news)
     }
 
     /// The connections to a target.
--- /dev/null
+++ b/src/process/peers/dial.rs
@@ -0,0 +1,75 @@
+//! Opens connections to peers.
+
+use std::collections::BTreeSet;
+
+use rand::Rng;
+
+use super::mesh::MESH_INTERVAL;
+use super::session::{Ending, Session};
+use super::{Peers, VISIT_TIME};
+use crate::connection::quic::endpoint::Endpoint;
+use crate::prelude::*;
+use crate::process::entry::Entry;
+
+/// Time that the lower address has to connect before the higher one does.
+const DIAL_GRACE: Duration = Duration::from_millis(300);
+/// Bounds of the pause after a failed connection.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+
+/// The peers to connect to, with those that a request is for.
+pub fn wanted(peers: &Peers, now: Instant) -> BTreeSet<SocketAddr> {
+    let mut members = peers.members.borrow_mut();
+    let Some(members) = &mut *members else { return Default::default() };
+    for hint in peers.member_hints() {
+        members.connected(&hint, now);
+    }
+    members.expire(now);
+    let mut visits = peers.visits.borrow_mut();
+    visits.retain(|_, time| now.saturating_duration_since(*time) < VISIT_TIME);
+    let mut wanted = members.wanted(now);
+    wanted.extend(visits.keys());
+    wanted
+}
+
+/// Connects to a peer again and again for as long as it is wanted.
+pub async fn dial(
+    entry: &Rc<Entry>,
+    endpoint: &Rc<Endpoint>,
+    own: SocketAddr,
+    address: SocketAddr,
+) {
+    let mut failures = 0;
+    while !entry.peers.is_stopping() && wanted(&entry.peers, Instant::now()).contains(&address) {
+        if own > address && failures == 0 {
+            monoio::time::sleep(DIAL_GRACE).await;
+        }
+        if entry.peers.links.borrow().contains_key(&address) {
+            monoio::time::sleep(MESH_INTERVAL).await;
+            continue;
+        }
+        let ending = match endpoint.connect(address) {
+            Ok(connection) => Session::new(entry.clone(), connection).run().await,
+            Err(_) => Ending::Lost,
+        };
+        match ending {
+            Ending::Closed => failures = 0,
+            Ending::Lost => {
+                failures += 1;
+                if let Some(members) = &mut *entry.peers.members.borrow_mut() {
+                    members.failed(address, Instant::now());
+                }
+            }
+        }
+        if entry.peers.is_stopping() {
+            return;
+        }
+        monoio::time::sleep(backoff(failures)).await;
+    }
+}
+
+/// Full jitter below a bound that doubles with each failure.
+fn backoff(failures: u32) -> Duration {
+    let (first, last) = BACKOFF;
+    let bound = first.saturating_mul(1 << failures.min(10)).min(last);
+    rand::rng().random_range(first / 2..=bound)
+}
--- /dev/null
+++ b/src/process/peers/keys.rs
@@ -0,0 +1,35 @@
+//! The key files of an entry.
+
+use super::mesh::KEY_INTERVAL;
+use super::settings::PeerSettings;
+use super::Result;
+use crate::connection::quic::identity::Identity;
+use crate::prelude::*;
+use crate::process::entry::Entry;
+
+/// Loads the key files, which may be in the middle of a renewal; `None` if the entry stops first.
+pub async fn load(entry: &Entry, settings: &PeerSettings) -> Option<Identity> {
+    while !entry.peers.is_stopping() {
+        match load_own(&entry.settings.name, settings) {
+            Ok(identity) => {
+                entry.peers.set_fault(None);
+                return Some(identity);
+            }
+            Err(error) => {
+                log::error!("the entry runs without peers: {error}");
+                entry.peers.set_fault(Some(error.to_string()));
+            }
+        }
+        monoio::time::sleep(KEY_INTERVAL).await;
+    }
+    None
+}
+
+/// Loads the key files and checks that they are the entry's own.
+pub fn load_own(name: &str, settings: &PeerSettings) -> Result<Identity> {
+    let identity = Identity::load(&settings.paths())?;
+    if !identity.is_for(name) {
+        return Err(Error::Key { reason: format!("the certificate is not for `{name}`") });
+    }
+    Ok(identity)
+}
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 
 use super::caller_settings::CallerSettings;
+use super::peers::settings::PeerSettings;
 use super::shutdown::ShutdownSettings;
 use super::Result;
 use crate::prelude::*;
@@ -28,6 +29,9 @@
     pub domain: String,
     /// Address of the platform's log and list of VMs.
     pub platform: SocketAddr,
+    /// Keys and addresses for peers; without them the entry runs without peers.
+    #[serde(default)]
+    pub peers: Option<PeerSettings>,
     /// How long the platform's log keeps a record, in milliseconds.
     pub retention_ms: u64,
     /// Log filter.
@@ -56,6 +60,7 @@
         ),
         Field::default("log", Kind::Text { max: 256 }, "\"info\""),
         Field::optional("callers", Kind::Object(&CALLERS)),
+        Field::optional("peers", Kind::Object(&PEERS)),
         Field::optional("shutdown", Kind::Object(&SHUTDOWN)),
     ],
 };
@@ -83,6 +88,21 @@
     ],
 };
 
+/// Longest path of a file.
+const MAX_PATH: usize = 4096;
+/// Most static peers.
+const MAX_STATIC: usize = 64;
+
+const PEERS: Schema = Schema {
+    fields: &[
+        Field::required("address", Kind::Address),
+        Field::required("authority", Kind::Text { max: MAX_PATH }),
+        Field::required("certificate", Kind::Text { max: MAX_PATH }),
+        Field::required("key", Kind::Text { max: MAX_PATH }),
+        Field::default("static", Kind::List { of: &Kind::Address, min: 0, max: MAX_STATIC }, "[]"),
+    ],
+};
+
 const SHUTDOWN: Schema =
     Schema { fields: &[Field::optional("delayMs", TIME), Field::optional("limitMs", TIME)] };
 
--- a/src/process/target.rs
+++ b/src/process/target.rs
@@ -22,6 +22,11 @@
 }
 
 impl LoadReport {
+    /// Calls at the target, running or queued.
+    pub fn total(&self) -> u32 {
+        self.running.saturating_add(self.queued)
+    }
+
     /// Parses `running=2,queued=0,slots=3`.
     pub fn parse(text: &str) -> Option<Self> {
         let mut report = Self::default();
