--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,27 +6,33 @@
 use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
+use super::grant;
 use super::observe::Metrics;
 use super::recorder::Recorder;
 use super::settings::Settings;
 use super::shutdown::{Shutdown, Signals};
+use super::watch;
 use super::Result;
 use crate::connection::server;
 use crate::connection::tasks::Tasks;
 use crate::platform::http_log::HttpLog;
+use crate::platform::http_vms::HttpVms;
 use crate::platform::log::Log;
+use crate::platform::vms::Vms;
 use crate::prelude::*;
 use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the list of VMs, within the 2 s in which a leaving target must be seen.
+const VMS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
     pub configuration: Configuration,
-    pub fleet: RefCell<Fleet>,
+    pub fleet: Rc<RefCell<Fleet>>,
     pub metrics: Metrics,
     pub recorder: Recorder,
     pub shutdown: Shutdown,
@@ -37,11 +43,11 @@
 impl Entry {
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
-        let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let fleet = Fleet::new(&settings.name, &settings.domain);
         Self {
             settings,
             configuration: Configuration::default(),
-            fleet: RefCell::new(Fleet::new(seed)),
+            fleet: Rc::new(RefCell::new(fleet)),
             metrics: Metrics::default(),
             recorder: Recorder::default(),
             shutdown: Shutdown::default(),
@@ -58,7 +64,7 @@
     /// Puts a revision in force.
     pub fn set_revision(&self, revision: Option<Rc<Revision>>) {
         if let Some(revision) = &revision {
-            self.fleet.borrow_mut().apply(&revision.document);
+            self.fleet.borrow_mut().apply(&revision.document, Instant::now());
         }
         self.revision.replace(revision);
     }
@@ -103,6 +109,9 @@
     log::info!(name = entry.settings.name.as_str(); "entry started");
     let background = Tasks::default();
     background.spawn(follower::follow(entry.clone(), log));
+    background.spawn(grant::serve_queues(entry.fleet.clone()));
+    let vms: Rc<dyn Vms> = Rc::new(HttpVms::new(entry.settings.platform, VMS_TIMEOUT));
+    background.spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
     background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
     Callers::new(entry.clone(), listener).serve().await;
