Add `restore` for a revision that the log and all entries have lost

When every entry was down for longer than the retention, no reader found a base and publish was refused for ever. `restore` appends a renewal from an operator's copy, after all named entries said that they have no revision.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -12,6 +12,7 @@
 pub mod promote;
 pub mod publication;
 pub mod publish;
+pub mod restore;
 pub mod status;
 pub mod table;
 pub mod timeline;
@@ -38,6 +39,7 @@
         Some(("history", matches)) => history::run(matches),
         Some(("promote", matches)) => promote::run(matches),
         Some(("publish", matches)) => publish::run(matches),
+        Some(("restore", matches)) => restore::run(matches),
         Some(("status", matches)) => status::run(matches),
         _ => Ok(Exit::Done),
     };
@@ -66,6 +68,7 @@
             history::command(),
             promote::command(),
             publish::command(),
+            restore::command(),
             status::command(),
         ])
         .after_help(exit::HELP)
