--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -14,6 +14,7 @@
 pub mod promote;
 pub mod publication;
 pub mod publish;
+pub mod restore;
 pub mod status;
 pub mod table;
 pub mod timeline;
@@ -41,6 +42,7 @@
         Some(("key", matches)) => key::run(matches),
         Some(("promote", matches)) => promote::run(matches),
         Some(("publish", matches)) => publish::run(matches),
+        Some(("restore", matches)) => restore::run(matches),
         Some(("status", matches)) => status::run(matches),
         _ => Ok(Exit::Done),
     };
@@ -70,6 +72,7 @@
             key::command(),
             promote::command(),
             publish::command(),
+            restore::command(),
             status::command(),
         ])
         .after_help(exit::HELP)
