Claim keyed calls through the log before they run

A duplicate of a booking at another entry ran a second time, because nothing recorded keys. The stand-in log wakes waiting reads, uses Unix time and gains limits; the stand-in target no longer leaks a slot that a dropped waiter was given.

--- a/src/code.rs
+++ b/src/code.rs
@@ -42,6 +42,9 @@
 codes! {
     /// A target answered; the status and the body are the target's own.
     Answered = 100, OK, "answered";
+    /// An earlier call with this key was answered by a target with this status. The response itself
+    /// is not available at this entry.
+    AnsweredBefore = 101, OK, "answered before: response not available";
     /// No target of the service can take the call. The call was not run.
     NotRunNoTarget = 201, SERVICE_UNAVAILABLE, "not run: no target";
     /// The call cannot meet its deadline, so it was not sent.
@@ -74,8 +77,11 @@
     RefusedWorkspace = 403, FORBIDDEN, "refused: no such workspace";
     /// The first call with this key has not ended yet.
     RefusedDuplicate = 404, CONFLICT, "refused: key in use";
-    /// The key was issued before the window in which duplicates are recognized.
+    /// The key was issued before the window in which duplicates are recognized, or the time of
+    /// issue is not a number.
     RefusedWindow = 405, CONFLICT, "refused: key too old";
+    /// The key was used for a call with another method, path or body.
+    RefusedMismatch = 406, CONFLICT, "refused: key used for another call";
     /// The head of the call is larger than the limit.
     MalformedHead = 501, REQUEST_HEADER_FIELDS_TOO_LARGE, "malformed: head too large";
     /// The head or the body of the call did not arrive in time.
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -101,6 +101,7 @@
                 admin,
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
+                claims: Default::default(),
                 log: "warn".into(),
             };
             let log: Rc<dyn Log> = Rc::new(HttpLog::new(platform, LOG_TIMEOUT));
--- a/src/platform/stand_in/log.rs
+++ b/src/platform/stand_in/log.rs
@@ -1,13 +1,14 @@
 //! A log in memory.
 
 use std::collections::{HashMap, VecDeque};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use local_sync::oneshot;
 
 use crate::platform::log::{Log, Page, Record};
 use crate::platform::Pending;
 use crate::prelude::*;
 
-/// Time between two looks of a waiting read.
-const POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Most records in one page.
 const PAGE_RECORDS: usize = 1000;
 
@@ -20,6 +21,17 @@
     pub delay: Duration,
     /// Appends take effect, but their answers are lost.
     pub lose_answers: bool,
+    /// Only reads fail.
+    pub reads_down: bool,
+}
+
+/// Limits of the log besides its retention; zero stands for none.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LogLimits {
+    /// Most appends in any second.
+    pub appends: usize,
+    /// Most records of one stream.
+    pub records: usize,
 }
 
 #[derive(Default)]
@@ -33,8 +45,11 @@
     streams: RefCell<HashMap<String, Stream>>,
     retention: Duration,
     faults: Cell<LogFaults>,
-    started: Instant,
+    limits: Cell<LogLimits>,
     appends: Cell<u64>,
+    refused: Cell<u64>,
+    recent: RefCell<VecDeque<Instant>>,
+    waiting: RefCell<Vec<oneshot::Sender<()>>>,
 }
 
 impl MemoryLog {
@@ -44,14 +59,33 @@
             streams: RefCell::default(),
             retention,
             faults: Cell::default(),
-            started: Instant::now(),
+            limits: Cell::default(),
             appends: Cell::new(0),
+            refused: Cell::new(0),
+            recent: RefCell::default(),
+            waiting: RefCell::default(),
         }
     }
 
+    /// Sets the limits in force.
+    pub fn set_limits(&self, limits: LogLimits) {
+        self.limits.set(limits);
+    }
+
+    /// Number of appends that were refused because of the rate limit.
+    pub fn refused(&self) -> u64 {
+        self.refused.get()
+    }
+
+    /// Drops all records and starts every stream anew at offset 0.
+    pub fn reset(&self) {
+        self.streams.borrow_mut().clear();
+    }
+
     /// Sets the faults in force.
     pub fn set_faults(&self, faults: LogFaults) {
         self.faults.set(faults);
+        self.wake();
     }
 
     /// Number of appends so far.
@@ -64,7 +98,12 @@
         let now = self.now();
         let limit = now.saturating_sub(self.retention.as_millis() as u64);
         for stream in self.streams.borrow_mut().values_mut() {
-            while stream.records.front().is_some_and(|record| record.time < limit) {
+            let most = match self.limits.get().records {
+                0 => usize::MAX,
+                records => records,
+            };
+            let is_old = |record: &Record| record.time < limit;
+            while stream.records.len() > most || stream.records.front().is_some_and(is_old) {
                 stream.records.pop_front();
                 stream.first += 1;
             }
@@ -72,7 +111,35 @@
     }
 
     fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+        elapsed.map_or(0, |elapsed| elapsed.as_millis() as u64)
+    }
+
+    fn wake(&self) {
+        for waiting in self.waiting.take() {
+            let _ = waiting.send(());
+        }
+    }
+
+    async fn wait(&self, span: Duration) {
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().push(sender);
+        let _ = monoio::time::timeout(span, receiver).await;
+    }
+
+    fn take_append(&self) -> super::super::Result<()> {
+        let now = Instant::now();
+        let mut recent = self.recent.borrow_mut();
+        while recent.front().is_some_and(|at| now - *at >= Duration::from_secs(1)) {
+            recent.pop_front();
+        }
+        let limit = self.limits.get().appends;
+        if limit > 0 && recent.len() >= limit {
+            self.refused.set(self.refused.get() + 1);
+            return Err(Error::Platform { reason: "too many appends".into() });
+        }
+        recent.push_back(now);
+        Ok(())
     }
 
     async fn pass_faults(&self) -> super::super::Result<()> {
@@ -86,6 +153,13 @@
         Ok(())
     }
 
+    fn check_reads(&self) -> super::super::Result<()> {
+        if self.faults.get().reads_down {
+            return Err(Error::Platform { reason: "reads of the log are down".into() });
+        }
+        Ok(())
+    }
+
     fn page(&self, name: &str, from: u64) -> Page {
         let mut streams = self.streams.borrow_mut();
         let stream = streams.entry(name.into()).or_default();
@@ -102,9 +176,11 @@
     fn append<'a>(&'a self, stream: &'a str, records: Vec<Bytes>) -> Pending<'a, u64> {
         Box::pin(async move {
             self.pass_faults().await?;
+            self.take_append()?;
             self.expire();
             self.appends.set(self.appends.get() + 1);
             let time = self.now();
+            self.wake();
             let mut streams = self.streams.borrow_mut();
             let stream = streams.entry(stream.into()).or_default();
             let start = stream.first + stream.records.len() as u64;
@@ -121,6 +197,7 @@
     fn read<'a>(&'a self, stream: &'a str, from: u64, wait: Duration) -> Pending<'a, Page> {
         Box::pin(async move {
             self.pass_faults().await?;
+            self.check_reads()?;
             let end = Instant::now() + wait;
             loop {
                 self.expire();
@@ -128,8 +205,12 @@
                 if !page.records.is_empty() || Instant::now() >= end {
                     return Ok(page);
                 }
-                monoio::time::sleep(POLL_INTERVAL).await;
+                if page.next < from {
+                    return Ok(page);
+                }
+                self.wait(end.saturating_duration_since(Instant::now())).await;
                 self.pass_faults().await?;
+                self.check_reads()?;
             }
         })
     }
--- a/src/platform/stand_in/target.rs
+++ b/src/platform/stand_in/target.rs
@@ -127,8 +127,10 @@
         }
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().push_back(sender);
+        let mut waiter = Waiter { target: self, receiver, is_done: false };
         // The slot passes from the call that ends to this one, so the count stays.
-        let _ = receiver.await;
+        let _ = (&mut waiter.receiver).await;
+        waiter.is_done = true;
         Slot { target: self }
     }
 
@@ -147,6 +149,21 @@
     target: &'a StandInTarget,
 }
 
+/// A call that waits for a slot; if it is dropped after it was given one, the slot passes on.
+struct Waiter<'a> {
+    target: &'a StandInTarget,
+    receiver: oneshot::Receiver<()>,
+    is_done: bool,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        if !self.is_done && self.receiver.try_recv().is_ok() {
+            drop(Slot { target: self.target });
+        }
+    }
+}
+
 impl Drop for Slot<'_> {
     fn drop(&mut self) {
         let mut waiting = self.target.waiting.borrow_mut();
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -2,6 +2,7 @@
 
 use monoio::net::{TcpListener, TcpStream};
 
+use super::claims::{self, Claims};
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
@@ -24,7 +25,8 @@
 pub struct Entry {
     pub settings: Settings,
     pub fleet: RefCell<Fleet>,
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
+    pub claims: Rc<Claims>,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -33,10 +35,13 @@
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
         let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let metrics = Rc::new(Metrics::default());
+        let claims = Rc::new(Claims::new(&settings.name, settings.claims, metrics.clone()));
         Self {
             settings,
             fleet: RefCell::new(Fleet::new(seed)),
-            metrics: Metrics::default(),
+            metrics,
+            claims,
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -51,6 +56,7 @@
     pub fn set_revision(&self, revision: Option<Rc<Revision>>) {
         if let Some(revision) = &revision {
             self.fleet.borrow_mut().apply(&revision.document);
+            self.claims.set_entries(revision.document.max_entries);
         }
         self.revision.replace(revision);
     }
@@ -78,6 +84,7 @@
     log: Rc<dyn Log>,
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
+    monoio::spawn(claims::tasks::run(entry.claims.clone(), log.clone()));
     monoio::spawn(follower::follow(entry.clone(), log));
     let state = entry.clone();
     monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for the process of an entry.
 
+pub mod claims;
 pub mod entry;
 pub mod fleet;
 pub mod follower;
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -42,6 +42,27 @@
         metrics::with_local_recorder(&self.recorder, || metrics::counter!(name).increment(1));
     }
 
+    /// Adds to the claims by outcome, a closed set of words.
+    pub fn claim(&self, outcome: &'static str) {
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_claims_total", "outcome" => outcome).increment(1);
+        });
+    }
+
+    /// Records an append to the stream `claims`.
+    pub fn append(&self, confirmed: bool, whole: Duration) {
+        let confirmed = if confirmed { "true" } else { "false" };
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::histogram!("cornellink_append_seconds", "confirmed" => confirmed)
+                .record(whole);
+        });
+    }
+
+    /// Sets a gauge without labels.
+    pub fn gauge(&self, name: &'static str, value: f64) {
+        metrics::with_local_recorder(&self.recorder, || metrics::gauge!(name).set(value));
+    }
+
     /// The metrics as Prometheus text.
     pub fn render(&self) -> String {
         self.handle.run_upkeep();
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 
+use super::claims::limits::ClaimLimits;
 use super::Result;
 use crate::prelude::*;
 
@@ -19,6 +20,9 @@
     pub domain: String,
     /// Address of the platform's log and list of VMs.
     pub platform: SocketAddr,
+    /// Bounds of the claims for keyed calls.
+    #[serde(default)]
+    pub claims: ClaimLimits,
     /// Log filter.
     #[serde(default = "default_log")]
     pub log: String,
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends a call to a target and decides what the caller is told.
 
-use super::header;
+use super::{header, keyed};
 use crate::connection::guard::Fault;
 use crate::prelude::*;
 use crate::process::entry::Entry;
@@ -25,6 +25,25 @@
     fn class(&self) -> &Class {
         self.revision.document.class(self.service, self.class)
     }
+
+    fn claim(&self, call: &Call) -> keyed::Claim {
+        if self.class().idempotent {
+            return keyed::Claim::Free;
+        }
+        let document = &self.revision.document;
+        let (workspace, service) = (&document[self.workspace].name, &document[self.service].name);
+        keyed::claim(call, workspace, service, self.deadline)
+    }
+
+    /// Most attempts; a non-idempotent call without a key gets one.
+    fn max_attempts(&self, call: &Call) -> u32 {
+        let has_key = call.headers.contains_key(header::IDEMPOTENCY_KEY);
+        if self.class().idempotent || has_key {
+            MAX_ATTEMPTS
+        } else {
+            1
+        }
+    }
 }
 
 /// How one attempt ended.
@@ -44,7 +63,8 @@
         Ok(matched) => matched,
         Err(code) => return Answer::own(code),
     };
-    let answer = run(entry, &matched, call).await;
+    let claim = matched.claim(&call);
+    let answer = keyed::run(entry, claim, run(entry, &matched, call)).await;
     let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
     let code = code.and_then(Code::from_number).unwrap_or(Code::Answered);
     let workspace = &matched.revision.document[matched.workspace].name;
@@ -72,6 +92,7 @@
     call.set(header::CALL_ID, &entry.next_call_id());
     call.set(header::CLASS, &matched.class().name);
     let mut tried = Vec::new();
+    let max_attempts = matched.max_attempts(&call);
     let mut number = 1;
     loop {
         if matched.deadline.has_passed(Instant::now()) {
@@ -88,7 +109,7 @@
             Attempt::Unknown(code) if !matched.class().idempotent => return Answer::own(code),
             Attempt::NotRun(code) | Attempt::Unknown(code) => code,
         };
-        if number == MAX_ATTEMPTS || code == Code::NotRunNoTarget {
+        if number >= max_attempts || code == Code::NotRunNoTarget {
             return Answer::own(code);
         }
         entry.metrics.count("cornellink_retries_total");
@@ -115,6 +136,10 @@
         Err(_) => return Attempt::NotRun(Code::NotRunConnect),
     };
     let left = matched.deadline.left(Instant::now());
+    // A pause of the process while the connection was opened can use up the deadline.
+    if left.is_zero() {
+        return Attempt::NotRun(Code::NotRunDeadline);
+    }
     let exchange = lease.connection().exchange(call);
     match monoio::time::timeout(left, exchange).await {
         Err(_) => Attempt::Unknown(Code::UnknownDeadline),
--- /dev/null
+++ b/src/request/keyed.rs
@@ -0,0 +1,46 @@
+//! Non-idempotent calls: run at most once with a key, attempted once without.
+
+use std::future::Future;
+
+use super::header;
+use crate::prelude::*;
+use crate::process::claims::admit::{Admission, Request};
+use crate::process::claims::key::{digest, Key};
+use crate::process::entry::Entry;
+
+/// The claim that a call needs.
+pub enum Claim {
+    /// None: the call is idempotent or has no key.
+    Free,
+    /// The time at which the key was issued is not a number.
+    Invalid,
+    /// The call runs only if it is the first with its key.
+    Needed(Request),
+}
+
+/// The claim that a non-idempotent call of a workspace and service needs.
+pub fn claim(call: &Call, workspace: &str, service: &str, deadline: Deadline) -> Claim {
+    let Some(key) = call.headers.get(header::IDEMPOTENCY_KEY) else { return Claim::Free };
+    let issued = match call.headers.get(header::KEY_ISSUED) {
+        Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
+            Some(issued) => Some(issued),
+            None => return Claim::Invalid,
+        },
+        None => None,
+    };
+    let key = Key::new(workspace, service, key.as_bytes());
+    Claim::Needed(Request { key, digest: digest(call), issued, deadline })
+}
+
+/// Runs a call if its claim allows it.
+pub async fn run(entry: &Entry, claim: Claim, run: impl Future<Output = Answer>) -> Answer {
+    let request = match claim {
+        Claim::Free => return run.await,
+        Claim::Invalid => return Answer::own(Code::RefusedWindow),
+        Claim::Needed(request) => request,
+    };
+    match entry.claims.admit(request).await {
+        Admission::Answer(answer) => answer,
+        Admission::Run(grant) => grant.finish(run.await),
+    }
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,3 +5,4 @@
 pub mod deadline;
 pub mod dispatch;
 pub mod header;
+pub mod keyed;
