Test claims, and keep possible winners of a key that a gap hides

An entry that had missed records took a losing claim for the winner, dropped the true winner and ran the key again once its table counted as complete; the random interleavings found this. A claim that won while the table was incomplete is now uncertain, and a later claim of its key takes its place instead of being dropped.

--- a/src/process/claims/mod.rs
+++ b/src/process/claims/mod.rs
@@ -118,18 +118,18 @@
                     self.confirm(nonce);
                     self.state.borrow_mut().released.remove(&nonce);
                 }
-                Event::Won { key, nonce } => self.won(&key, nonce),
+                Event::Won { key, nonce, time } => self.won(&key, nonce, time),
             }
         }
     }
 
-    fn won(&self, key: &Key, nonce: u64) {
+    fn won(&self, key: &Key, nonce: u64, time: u64) {
         self.confirm(nonce);
         if self.state.borrow_mut().abandoned.remove(&nonce) {
             return self.release(*key, nonce);
         }
         let Some(flight) = self.flight(key, nonce) else { return };
-        let is_covered = self.state.borrow().table.covers(unix_millis(), flight.issued);
+        let is_covered = self.state.borrow().table.covers(time, flight.issued);
         flight.decide(if is_covered { Verdict::Won } else { Verdict::Uncovered });
     }
 
--- a/src/process/claims/table.rs
+++ b/src/process/claims/table.rs
@@ -21,6 +21,17 @@
     /// Time in milliseconds within which the call ends.
     pub span: u32,
     pub outcome: Option<Outcome>,
+    doubt: Doubt,
+}
+
+/// Whether a claim may have won only because an earlier one is missing from the table.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Doubt {
+    /// It may have, and a later claim of the key may be the true winner.
+    Contested,
+    None,
+    /// It may have.
+    Uncertain,
 }
 
 /// What a record meant for the claims of the process that applied it.
@@ -32,8 +43,8 @@
     Lost { key: Key, nonce: u64 },
     /// The key is free again.
     Released { nonce: u64 },
-    /// The claim is the first of its key; `covered` tells whether the table is complete.
-    Won { key: Key, nonce: u64 },
+    /// The claim is the first of its key among those that the table knows at `time`.
+    Won { key: Key, nonce: u64, time: u64 },
 }
 
 /// Claims by key, bounded by the time for which claims hold and by number.
@@ -176,21 +187,30 @@
         let NewClaim { key, digest, holder, nonce, span } = new;
         let holder = self.intern(holder);
         let is_own = *holder == *self.own;
-        if let Some(claim) = self.claims.get(&key) {
-            let is_loser = claim.nonce != nonce;
-            return (is_own && is_loser).then_some(Event::Lost { key, nonce });
-        }
         let time = self.clock;
-        self.claims.insert(key, Claim { digest, holder, nonce, time, span, outcome: None });
+        let known = self.claims.get(&key).map(|claim| (claim.nonce, claim.doubt));
+        let doubt = match known {
+            Some((winner, _)) if winner == nonce => return None,
+            Some((_, Doubt::None)) => return is_own.then_some(Event::Lost { key, nonce }),
+            // The newest of the possible winners holds the key longest.
+            Some(_) => Doubt::Contested,
+            None if self.covers(time, None) => Doubt::None,
+            None => Doubt::Uncertain,
+        };
+        self.claims.insert(key, Claim { digest, holder, nonce, time, span, outcome: None, doubt });
         self.order.push_back((time, key, nonce));
+        if doubt == Doubt::Contested {
+            return is_own.then_some(Event::Lost { key, nonce });
+        }
         if self.claims.len() > self.limit {
             self.evict();
         }
-        is_own.then_some(Event::Won { key, nonce })
+        is_own.then_some(Event::Won { key, nonce, time })
     }
 
     fn release(&mut self, key: Key, nonce: u64) -> Option<Event> {
-        if self.claims.get(&key)?.nonce != nonce {
+        let claim = self.claims.get(&key)?;
+        if claim.nonce != nonce || claim.doubt == Doubt::Contested {
             return None;
         }
         let claim = self.claims.remove(&key)?;
