Probe silent targets under a lease in the log

Reports come on responses only, so a target without calls was never seen again. The holder of a domain's lease now probes its silent targets.

--- a/src/platform/stand_in/hosted.rs
+++ b/src/platform/stand_in/hosted.rs
@@ -26,6 +26,31 @@
     Ok((host, address))
 }
 
+/// Starts several services over one log, so that a test can cut off the users of one address.
+pub fn host_platforms(
+    count: usize,
+    retention: Duration,
+) -> Result<(Host<Vec<Rc<PlatformService>>>, Vec<SocketAddr>)> {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let host = Host::start(move || async move {
+        let log = Rc::new(MemoryLog::new(retention));
+        let mut services = Vec::new();
+        let mut addresses = Vec::new();
+        for _ in 0..count {
+            let (listener, address) = bind_loopback()?;
+            let service = Rc::new(PlatformService::new(log.clone()));
+            let handler = service.clone();
+            monoio::spawn(server::serve(listener, move |call| handler.clone().handle(call)));
+            services.push(service);
+            addresses.push(address);
+        }
+        let _ = sender.send(addresses);
+        Ok(services)
+    })?;
+    let addresses = receiver.recv().map_err(|_| Error::PlatformTimeout)?;
+    Ok((host, addresses))
+}
+
 /// Starts `count` targets on one thread and returns their addresses.
 pub fn host_targets(
     count: usize,
--- a/src/platform/stand_in/service.rs
+++ b/src/platform/stand_in/service.rs
@@ -12,12 +12,13 @@
 pub struct PlatformService {
     pub log: Rc<MemoryLog>,
     vms: RefCell<Vec<Vm>>,
+    is_cut: Cell<bool>,
 }
 
 impl PlatformService {
     /// Creates the service.
     pub fn new(log: Rc<MemoryLog>) -> Self {
-        Self { log, vms: RefCell::default() }
+        Self { log, vms: RefCell::default(), is_cut: Cell::new(false) }
     }
 
     /// Replaces the list of VMs.
@@ -25,6 +26,11 @@
         self.vms.replace(vms);
     }
 
+    /// Cuts those who use this address off from the log, or heals the cut.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.set(is_cut);
+    }
+
     /// Answers one request of the platform's protocol.
     pub async fn handle(self: Rc<Self>, call: Call) -> Answer {
         let path = call.uri.path().to_owned();
@@ -32,6 +38,9 @@
             let entries: Vec<VmEntry> = self.vms.borrow().iter().map(VmEntry::from).collect();
             return json(&entries);
         }
+        if self.is_cut.get() {
+            return Answer::new(StatusCode::SERVICE_UNAVAILABLE, "the log is out of reach");
+        }
         let Some(stream) = path.strip_prefix("/streams/") else {
             return Answer::new(StatusCode::NOT_FOUND, "");
         };
--- a/src/platform/stand_in/target.rs
+++ b/src/platform/stand_in/target.rs
@@ -1,6 +1,6 @@
 //! A target with slots, a queue, load reports, draining and faults.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 use local_sync::oneshot;
 
@@ -12,6 +12,9 @@
 /// Header in which a test names the service time in microseconds.
 pub const SERVICE_TIME: &str = "stand-in-service-us";
 
+/// Header that tells the copies of a call with one key apart.
+pub const COPY: &str = "stand-in-copy";
+
 /// Behaviour of a target that a test changes at run time.
 #[derive(Clone, Copy, Debug)]
 pub struct TargetFaults {
@@ -38,6 +41,7 @@
     waiting: RefCell<VecDeque<oneshot::Sender<()>>>,
     faults: Cell<TargetFaults>,
     runs: RefCell<HashMap<String, u32>>,
+    copies: RefCell<HashSet<String>>,
     calls: Cell<u64>,
     probes: RefCell<Vec<Instant>>,
 }
@@ -53,6 +57,7 @@
             waiting: RefCell::default(),
             faults: Cell::default(),
             runs: RefCell::default(),
+            copies: RefCell::default(),
             calls: Cell::new(0),
             probes: RefCell::default(),
         }
@@ -68,6 +73,11 @@
         self.runs.borrow().clone()
     }
 
+    /// The copies of keyed calls that ran.
+    pub fn copies(&self) -> HashSet<String> {
+        self.copies.borrow().clone()
+    }
+
     /// Number of calls that ran.
     pub fn calls(&self) -> u64 {
         self.calls.get()
@@ -101,6 +111,9 @@
     async fn run(&self, call: &Call, time: Duration) {
         let _slot = self.take_slot().await;
         self.calls.set(self.calls.get() + 1);
+        if let Some(copy) = call.header(COPY) {
+            self.copies.borrow_mut().insert(copy.into());
+        }
         if let Some(key) = call.header(header::IDEMPOTENCY_KEY) {
             *self.runs.borrow_mut().entry(key.into()).or_default() += 1;
         }
--- a/src/process/claims/mod.rs
+++ b/src/process/claims/mod.rs
@@ -33,8 +33,9 @@
 use super::observe::Metrics;
 use crate::prelude::*;
 
-/// Longest time from a booking's arrival to its confirmed claim.
-pub const CLAIM_LIMIT: Duration = Duration::from_millis(100);
+/// Longest time from a booking's arrival to its confirmed claim. Of the 100 ms within which the
+/// caller must know that its booking was not run, 10 ms are left for timers and the response.
+pub const CLAIM_LIMIT: Duration = Duration::from_millis(90);
 /// Appends a second of all entries together, a share of the several hundred that the log takes.
 const FLEET_APPENDS: f64 = 200.0;
 /// Appends of one entry in excess of its rate; 16 entries together append at most 264 times in
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -6,6 +6,7 @@
 use super::fleet::Fleet;
 use super::follower;
 use super::observe::Metrics;
+use super::probes::{self, Probes};
 use super::settings::Settings;
 use super::Result;
 use crate::connection::caller::CallerConnection;
@@ -27,6 +28,7 @@
     pub fleet: RefCell<Fleet>,
     pub metrics: Rc<Metrics>,
     pub claims: Rc<Claims>,
+    pub probes: Probes,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -37,11 +39,13 @@
         let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
         let metrics = Rc::new(Metrics::default());
         let claims = Rc::new(Claims::new(&settings.name, settings.claims, metrics.clone()));
+        let probes = Probes::new(&settings.name);
         Self {
             settings,
             fleet: RefCell::new(Fleet::new(seed)),
             metrics,
             claims,
+            probes,
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
@@ -85,6 +89,7 @@
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
     monoio::spawn(claims::tasks::run(entry.claims.clone(), log.clone()));
+    monoio::spawn(probes::run(entry.clone(), log.clone()));
     monoio::spawn(follower::follow(entry.clone(), log));
     let state = entry.clone();
     monoio::spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -7,6 +7,7 @@
 use slotmap::SlotMap;
 
 use super::pool::Pool;
+use super::probes::result::ProbeResult;
 use super::target::{LoadReport, Target, TargetKey};
 use crate::prelude::*;
 use crate::version::document::Document;
@@ -51,6 +52,7 @@
                         inflight: 0,
                         draining: false,
                         report: None,
+                        reported: None,
                         pool: Rc::new(Pool::new(spec.address, limit)),
                     })
                 });
@@ -92,9 +94,29 @@
         target.draining |= draining;
         if report.is_some() {
             target.report = report;
+            target.reported = Some(Instant::now());
         }
     }
 
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, result: &ProbeResult) {
+        let Some(key) = self.addresses.get(&result.address) else { return };
+        let target = &mut self.targets[*key];
+        target.draining |= result.draining;
+        target.report = Some(result.report);
+        target.reported = Some(result.at);
+    }
+
+    /// When a target last reported its load.
+    pub fn heard(&self, address: SocketAddr) -> Option<Instant> {
+        self.targets[*self.addresses.get(&address)?].reported
+    }
+
+    /// The connections to the target at an address.
+    pub fn pool_at(&self, address: SocketAddr) -> Option<Rc<Pool>> {
+        self.pool(*self.addresses.get(&address)?)
+    }
+
     /// The connections to a target.
     pub fn pool(&self, key: TargetKey) -> Option<Rc<Pool>> {
         self.targets.get(key).map(|target| target.pool.clone())
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,6 +7,7 @@
 pub mod logging;
 pub mod observe;
 pub mod pool;
+pub mod probes;
 pub mod runtime;
 pub mod settings;
 pub mod target;
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -49,6 +49,13 @@
         });
     }
 
+    /// Adds to the probes by outcome, a closed set of words.
+    pub fn probe(&self, outcome: &'static str) {
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_probes_total", "outcome" => outcome).increment(1);
+        });
+    }
+
     /// Records an append to the stream `claims`.
     pub fn append(&self, confirmed: bool, whole: Duration) {
         let confirmed = if confirmed { "true" } else { "false" };
--- a/src/process/target.rs
+++ b/src/process/target.rs
@@ -43,5 +43,7 @@
     pub inflight: u32,
     pub draining: bool,
     pub report: Option<LoadReport>,
+    /// When the target sent the report.
+    pub reported: Option<Instant>,
     pub pool: Rc<Pool>,
 }
--- /dev/null
+++ b/tests/probes.rs
@@ -0,0 +1,90 @@
+//! Leases and probes of whole entries over a log in memory.
+
+use cornellink::platform::log::Log;
+use cornellink::platform::stand_in::hosted::host_targets;
+use cornellink::platform::stand_in::log::MemoryLog;
+use cornellink::prelude::*;
+use cornellink::process::entry::Entry;
+use cornellink::process::probes;
+use cornellink::process::probes::plan::budget;
+use cornellink::process::runtime::block_on;
+use cornellink::process::settings::Settings;
+use cornellink::version::history::History;
+use cornellink::version::record::{ConfigRecord, PublishRecord};
+
+fn publish_record(target: SocketAddr) -> ConfigRecord {
+    let document = serde_json::json!({
+        "format": 1,
+        "environment": "trial",
+        "maxEntries": 16,
+        "workspaces": [{ "name": "north", "weight": 1, "retryPercent": 10.0 }],
+        "services": [{
+            "name": "tickets", "prefix": "/tickets", "slots": 3, "connections": 200,
+            "queue": 100, "probePercent": 1.0, "probeCostMs": 6,
+            "classes": [{ "name": "lookup", "methods": ["GET"], "prefix": "/",
+                          "deadlineMs": 1000, "idempotent": true }],
+            "targets": [{ "address": target, "domain": "a" }],
+        }],
+    });
+    ConfigRecord::Publish(PublishRecord {
+        format: 1,
+        environment: "trial".into(),
+        author: "test".into(),
+        nonce: 1,
+        replaces: 0,
+        text: document.to_string(),
+    })
+}
+
+fn start(name: &str, target: SocketAddr, log: &Rc<dyn Log>) -> Rc<Entry> {
+    let settings = serde_json::json!({
+        "name": name, "domain": "a", "listen": "127.0.0.1:1", "admin": "127.0.0.1:1",
+        "platform": "127.0.0.1:1",
+    });
+    let entry = Rc::new(Entry::new(Settings::parse(&settings.to_string()).unwrap()));
+    let mut history = History::default();
+    history.apply(0, &publish_record(target).encode());
+    entry.set_revision(history.current());
+    monoio::spawn(probes::run(entry.clone(), log.clone()));
+    entry
+}
+
+/// Guards against a silent target that nobody probes, and against two holders of one lease.
+#[test]
+fn one_of_two_entries_probes_a_silent_target() {
+    let (targets, addresses) = host_targets(1, 3, Duration::from_millis(1)).unwrap();
+    block_on(async {
+        let log: Rc<dyn Log> = Rc::new(MemoryLog::new(Duration::from_secs(3600)));
+        let entries = ["one", "two"].map(|name| start(name, addresses[0], &log));
+        let results = |entry: &Rc<Entry>| entry.probes.take_results();
+        let mut found = [Vec::new(), Vec::new()];
+
+        while found.iter().all(Vec::is_empty) {
+            monoio::time::sleep(Duration::from_millis(10)).await;
+            found = [results(&entries[0]), results(&entries[1])];
+        }
+        let held = entries.iter().filter(|entry| !entry.probes.held().is_empty()).count();
+        let holder = &entries[usize::from(found[0].is_empty())];
+
+        assert_eq!(held, 1);
+        assert!(holder.fleet.borrow().heard(addresses[0]).is_some());
+        let result = found.into_iter().flatten().next().unwrap();
+        assert_eq!((result.report.slots, result.draining), (3, false));
+    })
+    .unwrap();
+    assert!(targets.with(|targets| !targets[0].probes().is_empty()));
+}
+
+/// Guards against a budget that rounds up: 1% of three slots is 30 ms a second, 5 probes of 6 ms.
+#[test]
+fn budget_follows_from_slots() {
+    let mut history = History::default();
+    history.apply(0, &publish_record("127.0.0.1:1".parse().unwrap()).encode());
+    let mut service = history.current().unwrap().document.services[0].clone();
+
+    assert_eq!(budget(&service), 5);
+    service.slots = 6;
+    assert_eq!(budget(&service), 10);
+    service.probe_cost = Duration::from_millis(7);
+    assert_eq!(budget(&service), 8);
+}
