--- a/src/platform/stand_in/hosted.rs
+++ b/src/platform/stand_in/hosted.rs
@@ -11,6 +11,9 @@
 /// Targets on a thread of their own.
 pub type TargetHost = Host<Vec<Rc<StandInTarget>>>;
 
+/// The platform's services at several addresses, on a thread of their own.
+pub type PlatformsHost = Host<Vec<Rc<PlatformService>>>;
+
 /// Starts the platform's services and returns their address.
 pub fn host_platform(retention: Duration) -> Result<(Host<Rc<PlatformService>>, SocketAddr)> {
     let (sender, receiver) = std::sync::mpsc::channel();
@@ -30,7 +33,7 @@
 pub fn host_platforms(
     count: usize,
     retention: Duration,
-) -> Result<(Host<Vec<Rc<PlatformService>>>, Vec<SocketAddr>)> {
+) -> Result<(PlatformsHost, Vec<SocketAddr>)> {
     let (sender, receiver) = std::sync::mpsc::channel();
     let host = Host::start(move || async move {
         let log = Rc::new(MemoryLog::new(retention));
