--- a/benches/log_outage.rs
+++ b/benches/log_outage.rs
@@ -18,7 +18,7 @@
 const ENTRIES: usize = 4;
 /// Time between two lookups, and between two bookings, at each entry.
 const LOOKUP_INTERVAL: Duration = Duration::from_millis(10);
-const BOOKING_INTERVAL: Duration = Duration::from_millis(100);
+const BOOKING_INTERVAL: Duration = Duration::from_millis(25);
 /// Bounds of the page.
 const LOOKUP_FACTOR: f64 = 1.1;
 const BOOKING_LIMIT_MS: f64 = 100.0;
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -46,7 +46,7 @@
 
 fn start(name: &str, target: SocketAddr, log: &Rc<dyn Log>) -> Rc<Entry> {
     let settings = serde_json::json!({
-        "name": name, "domain": "a", "listen": "127.0.0.1:1", "admin": "127.0.0.1:1",
+        "name": name, "domain": "a", "listen": "127.0.0.1:1", "admin": "127.0.0.1:2",
         "platform": "127.0.0.1:1",
     });
     let entry = Rc::new(Entry::new(Settings::parse(&settings.to_string()).unwrap()));
