--- a/benches/at_most_once.rs
+++ b/benches/at_most_once.rs
@@ -14,7 +14,7 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::cluster::{code, count, document, publish, Cluster};
+use fixture::faulty::{code, count, document, publish, Cluster};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/benches/log_outage.rs
+++ b/benches/log_outage.rs
@@ -11,7 +11,7 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::cluster::{code, count, document, publish, Cluster};
+use fixture::faulty::{code, count, document, publish, Cluster};
 use hdrhistogram::Histogram;
 
 const SEED: u64 = 22;
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -8,22 +8,28 @@
 use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
+use super::grant;
 use super::observe::Metrics;
 use super::probes::{self, Probes};
 use super::recorder::Recorder;
 use super::settings::Settings;
 use super::shutdown::{Shutdown, Signals};
+use super::watch;
 use super::Result;
 use crate::connection::server;
 use crate::connection::tasks::Tasks;
 use crate::platform::http_log::HttpLog;
+use crate::platform::http_vms::HttpVms;
 use crate::platform::log::Log;
+use crate::platform::vms::Vms;
 use crate::prelude::*;
 use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
 /// Longest wait for an append of the log.
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest wait for the list of VMs, within the 2 s in which a leaving target must be seen.
+const VMS_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Longest wait at the end for the results of claims to reach the log.
 const FLUSH_LIMIT: Duration = Duration::from_secs(2);
@@ -32,7 +38,7 @@
 pub struct Entry {
     pub settings: Settings,
     pub configuration: Configuration,
-    pub fleet: RefCell<Fleet>,
+    pub fleet: Rc<RefCell<Fleet>>,
     pub metrics: Rc<Metrics>,
     pub claims: Rc<Claims>,
     pub probes: Probes,
@@ -45,7 +51,7 @@
 impl Entry {
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
-        let seed = xxhash_rust::xxh3::xxh3_64(settings.name.as_bytes());
+        let fleet = Fleet::new(&settings.name, &settings.domain);
         let metrics = Rc::new(Metrics::default());
         let limits = ClaimLimits::new(&settings.claims, settings.retention());
         let claims = Rc::new(Claims::new(&settings.name, limits, metrics.clone()));
@@ -53,7 +59,7 @@
         Self {
             settings,
             configuration: Configuration::default(),
-            fleet: RefCell::new(Fleet::new(seed)),
+            fleet: Rc::new(RefCell::new(fleet)),
             metrics,
             claims,
             probes,
@@ -72,7 +78,7 @@
     /// Puts a revision in force.
     pub fn set_revision(&self, revision: Option<Rc<Revision>>) {
         if let Some(revision) = &revision {
-            self.fleet.borrow_mut().apply(&revision.document);
+            self.fleet.borrow_mut().apply(&revision.document, Instant::now());
             self.claims.set_entries(revision.document.max_entries);
         }
         self.revision.replace(revision);
@@ -120,6 +126,9 @@
     background.spawn(claims::tasks::run(entry.claims.clone(), log.clone()));
     background.spawn(probes::run(entry.clone(), log.clone()));
     background.spawn(follower::follow(entry.clone(), log));
+    background.spawn(grant::serve_queues(entry.fleet.clone()));
+    let vms: Rc<dyn Vms> = Rc::new(HttpVms::new(entry.settings.platform, VMS_TIMEOUT));
+    background.spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
     background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
     Callers::new(entry.clone(), listener).serve().await;
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use super::header;
+use super::matched::Matched;
 use crate::prelude::*;
 use crate::process::claims::admit::{Admission, Request};
 use crate::process::claims::key::{digest, Key};
@@ -18,8 +19,11 @@
     Needed(Request),
 }
 
-/// The claim that a non-idempotent call of a workspace and service needs.
-pub fn claim(call: &Call, workspace: &str, service: &str, deadline: Deadline) -> Claim {
+/// The claim that a call needs.
+pub fn claim(matched: &Matched, call: &Call) -> Claim {
+    if matched.class().idempotent {
+        return Claim::Free;
+    }
     let Some(key) = call.headers.get(header::IDEMPOTENCY_KEY) else { return Claim::Free };
     let issued = match call.headers.get(header::KEY_ISSUED) {
         Some(value) => match value.to_str().ok().and_then(|text| text.parse().ok()) {
@@ -28,8 +32,9 @@
         },
         None => None,
     };
-    let key = Key::new(workspace, service, key.as_bytes());
-    Claim::Needed(Request { key, digest: digest(call), issued, deadline })
+    let names = (&matched.workspace().name, &matched.service().name);
+    let key = Key::new(names.0, names.1, key.as_bytes());
+    Claim::Needed(Request { key, digest: digest(call), issued, deadline: matched.deadline })
 }
 
 /// Runs a call if its claim allows it.
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,8 +1,11 @@
 //! What lives for one request.
 
 pub mod answer;
+pub mod attempt;
 pub mod call;
 pub mod deadline;
 pub mod dispatch;
 pub mod header;
 pub mod keyed;
+pub mod matched;
+pub mod retry;
