--- /dev/null
+++ b/tests/keyless.rs
@@ -0,0 +1,36 @@
+//! Non-idempotent calls without a key.
+
+mod fixture;
+
+use cornellink::platform::stand_in::hosted::host_platform;
+use cornellink::prelude::*;
+use cornellink::process::runtime::block_on;
+use cornellink::request::header;
+use fixture::faulty::{code, document, publish, Cluster};
+use fixture::free_address;
+
+/// Guards against a second attempt of a booking without a key, even when the first one provably
+/// did not run. A lookup shows that retries would be seen.
+#[test]
+fn booking_without_a_key_gets_one_attempt() {
+    let (_platform, address) = host_platform(Duration::from_secs(3600)).unwrap();
+    let addresses = [free_address()];
+    let (booking, lookup) = block_on(async {
+        publish(address, document(&[("jobs", 3, &addresses)])).await;
+        let cluster = Cluster::start(1, vec![address]);
+        cluster.wait_ready().await;
+        let mut call = Call::new(Method::POST, Uri::from_static("/jobs/1"));
+        call.set(header::WORKSPACE, "north");
+
+        let answer = cluster.client(0).call(&call).await.unwrap();
+        assert_eq!(code(&answer), Some(Code::NotRunConnect));
+        let booking = cluster.metrics(0).await;
+        let mut call = Call::new(Method::GET, Uri::from_static("/jobs/1"));
+        call.set(header::WORKSPACE, "north");
+        cluster.client(0).call(&call).await.unwrap();
+        (booking, cluster.metrics(0).await)
+    })
+    .unwrap();
+    assert!(!booking.contains("cornellink_retries"));
+    assert!(lookup.contains("cornellink_retries"), "the test sees no retries at all");
+}
