--- /dev/null
+++ b/tests/claim_start.rs
@@ -0,0 +1,94 @@
+//! The start of an entry over a stream that goes back further than its claims hold.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use cornellink::platform::log::{Log, Page, Record};
+use cornellink::platform::Pending;
+use cornellink::prelude::*;
+use cornellink::process::claims::key::Key;
+use cornellink::process::claims::limits::{ClaimLimits, ClaimSettings};
+use cornellink::process::claims::lookup::Lookup;
+use cornellink::process::claims::record::{ClaimRecord, Holder, NewClaim};
+use cornellink::process::claims::{tasks, Claims};
+use cornellink::process::observe::Metrics;
+use cornellink::process::runtime::block_on;
+
+const DAY: Duration = Duration::from_secs(24 * 3600);
+const OLD_RECORDS: u64 = 40_000;
+const NEW_RECORDS: u64 = 3000;
+const PAGE_RECORDS: usize = 1000;
+
+/// A log whose first records are ten hours old.
+struct AgedLog {
+    records: RefCell<Vec<Record>>,
+    served: Cell<usize>,
+}
+
+impl AgedLog {
+    fn new() -> Self {
+        let now = unix_millis();
+        let records = (0..OLD_RECORDS + NEW_RECORDS).map(|offset| {
+            let age = if offset < OLD_RECORDS { 10 * 3_600_000 } else { 60_000 };
+            Record { offset, time: now - age, value: claim(offset).encode() }
+        });
+        Self { records: RefCell::new(records.collect()), served: Cell::new(0) }
+    }
+}
+
+impl Log for AgedLog {
+    fn append<'a>(&'a self, _: &'a str, values: Vec<Bytes>) -> Pending<'a, u64> {
+        let mut records = self.records.borrow_mut();
+        let start = records.len() as u64;
+        let time = unix_millis();
+        records.extend((start..).zip(values).map(|(offset, value)| Record { offset, time, value }));
+        Box::pin(async move { Ok(start) })
+    }
+
+    fn read<'a>(&'a self, _: &'a str, from: u64, _: Duration) -> Pending<'a, Page> {
+        Box::pin(async move {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+            let all = self.records.borrow();
+            let records: Vec<Record> =
+                all.iter().skip(from as usize).take(PAGE_RECORDS).cloned().collect();
+            self.served.set(self.served.get() + records.len());
+            Ok(Page { first: 0, next: all.len() as u64, records })
+        })
+    }
+}
+
+fn unix_millis() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+fn key(number: u64) -> Key {
+    Key::new("north", "jobs", number.to_string().as_bytes())
+}
+
+fn claim(number: u64) -> ClaimRecord {
+    let holder = Holder { name: "other".into(), incarnation: 1 };
+    ClaimRecord::Claim(NewClaim { key: key(number), digest: 1, holder, nonce: number, span: 1000 })
+}
+
+/// Guards against a start that reads a whole day of claims, and against one that skips a claim
+/// in force.
+#[test]
+fn start_reads_claims_in_force_only() {
+    block_on(async {
+        let log = Rc::new(AgedLog::new());
+        let limits = ClaimLimits::new(&ClaimSettings::default(), DAY);
+        let claims = Rc::new(Claims::new("one", limits, Rc::new(Metrics::default())));
+        monoio::spawn(tasks::run(claims.clone(), log.clone()));
+        while !claims.is_open() {
+            monoio::time::sleep(Duration::from_millis(1)).await;
+        }
+
+        let served = log.served.get();
+        let found = (OLD_RECORDS..OLD_RECORDS + NEW_RECORDS)
+            .filter(|number| matches!(claims.lookup(&key(*number), 1), Lookup::Gone));
+
+        assert_eq!(found.count() as u64, NEW_RECORDS);
+        assert!(served < OLD_RECORDS as usize / 2, "`{served}` records were read");
+        assert!(matches!(claims.lookup(&key(0), 1), Lookup::Free));
+    })
+    .unwrap();
+}
