--- a/src/process/claims/tasks.rs
+++ b/src/process/claims/tasks.rs
@@ -34,7 +34,10 @@
     claims.state.borrow_mut().table.start_at(start);
     loop {
         let next = claims.state.borrow().table.next();
-        match log.read(STREAM, next, READ_WAIT).await {
+        // Until the end has been seen once, a wait at the end would only delay the first claims.
+        let is_current = claims.state.borrow().health.current;
+        let wait = if is_current { READ_WAIT } else { Duration::ZERO };
+        match log.read(STREAM, next, wait).await {
             Ok(page) => claims.apply(&page),
             Err(error) => {
                 log::debug!("cannot read the stream `{STREAM}`: {error}");
--- a/tests/claim_start.rs
+++ b/tests/claim_start.rs
@@ -92,3 +92,39 @@
     })
     .unwrap();
 }
+
+/// An empty log that keeps a waiting read for ever.
+struct EmptyLog;
+
+impl Log for EmptyLog {
+    fn append<'a>(&'a self, _: &'a str, _: Vec<Bytes>) -> Pending<'a, u64> {
+        Box::pin(std::future::pending())
+    }
+
+    fn read<'a>(&'a self, _: &'a str, _: u64, wait: Duration) -> Pending<'a, Page> {
+        Box::pin(async move {
+            if !wait.is_zero() {
+                std::future::pending::<()>().await;
+            }
+            Ok(Page::default())
+        })
+    }
+}
+
+/// Guards against a start that refuses bookings until the first waiting read has ended.
+#[test]
+fn empty_stream_opens_claims_without_a_wait() {
+    block_on(async {
+        let limits = ClaimLimits::new(&ClaimSettings::default(), DAY);
+        let claims = Rc::new(Claims::new("one", limits, Rc::new(Metrics::default())));
+        monoio::spawn(tasks::run(claims.clone(), Rc::new(EmptyLog)));
+        for _ in 0..100 {
+            if !claims.is_open() {
+                monoio::time::sleep(Duration::from_millis(1)).await;
+            }
+        }
+
+        assert!(claims.is_open());
+    })
+    .unwrap();
+}
