--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -105,6 +105,7 @@
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
                 peers: None,
+                claims: Default::default(),
                 retention_ms: RETENTION.as_millis() as u64,
                 log: "warn".into(),
                 callers: Default::default(),
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -10,7 +10,9 @@
 use super::budget::Budget;
 use super::health::Health;
 use super::news::News;
+use super::outcome::Signs;
 use super::pool::Pool;
+use super::probes::result::ProbeResult;
 use super::queue::FlowKey;
 use super::service::{ServiceId, ServiceState};
 use super::share::{long_slots, Place};
@@ -194,6 +196,23 @@
         std::mem::take(&mut self.news)
     }
 
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, result: &ProbeResult) {
+        let Some(key) = self.target(result.address) else { return };
+        let signs = Signs { report: Some(result.report), draining: result.draining, timed: false };
+        self.observe(key, signs, result.at);
+    }
+
+    /// When a target last reported its load.
+    pub fn heard(&self, address: SocketAddr) -> Option<Instant> {
+        self.targets[self.target(address)?].others.seen()
+    }
+
+    /// The connections to the target at an address.
+    pub fn pool_at(&self, address: SocketAddr) -> Option<Rc<Pool>> {
+        self.pool(self.target(address)?)
+    }
+
     /// The connections to a target.
     pub fn pool(&self, key: TargetKey) -> Option<Rc<Pool>> {
         self.targets.get(key).map(|target| target.pool.clone())
--- a/src/process/others.rs
+++ b/src/process/others.rs
@@ -31,6 +31,11 @@
         self.seen.is_none_or(|seen| seen < at)
     }
 
+    /// When the newest report came.
+    pub fn seen(&self) -> Option<Instant> {
+        self.seen
+    }
+
     /// The expected number of others' calls at `now`; `span` is the time a call takes.
     pub fn estimate(&self, now: Instant, span: Duration) -> f64 {
         let Some(seen) = self.seen else { return 0.0 };
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -1,6 +1,7 @@
 //! Answers a call.
 
 use super::header;
+use super::keyed;
 use super::matched::Matched;
 use super::retry;
 use crate::prelude::*;
@@ -26,9 +27,10 @@
     answer
 }
 
-/// The call is matched, and no byte of it has been sent: the place to claim a key.
+/// The call is matched, and no byte of it has been sent.
 async fn answer(entry: &Entry, matched: &Matched, call: Call) -> Answer {
-    retry::run(entry, matched, call).await
+    let claim = keyed::claim(matched, &call);
+    keyed::run(entry, claim, retry::run(entry, matched, call)).await
 }
 
 fn record(entry: &Entry, matched: &Matched, call: &Call, arrived: Instant) {
