--- a/src/code.rs
+++ b/src/code.rs
@@ -90,6 +90,8 @@
     NotReady = 600, SERVICE_UNAVAILABLE, "not ready";
     /// The entry has as many connections from callers as its settings allow.
     NotReadyConnections = 601, SERVICE_UNAVAILABLE, "not ready: too many connections";
+    /// The calls that the entry is reading occupy as much memory as its settings allow.
+    NotReadyMemory = 602, SERVICE_UNAVAILABLE, "not ready: too much in memory";
 }
 
 impl Code {
@@ -104,8 +106,11 @@
     }
 
     /// Whether the code promises that the call was not run.
+    ///
+    /// A refusal because of an idempotency key (404 to 406) makes no such promise: an earlier call
+    /// with the key may have run.
     pub fn is_not_run(self) -> bool {
-        matches!(self.number(), 200..=299 | 400..=699)
+        matches!(self.number(), 200..=299 | 401..=403 | 500..=699)
     }
 
     /// Whether the call may have run without a confirmed outcome.
--- a/src/process/peers/mesh.rs
+++ b/src/process/peers/mesh.rs
@@ -3,7 +3,6 @@
 use std::collections::HashSet;
 
 use local_sync::mpsc::unbounded::{channel, Rx};
-use rand::Rng;
 
 use super::message::{Announcement, Message};
 use super::session::Session;
@@ -12,7 +11,6 @@
 use crate::connection::quic::connection::Connection;
 use crate::connection::quic::endpoint::Endpoint;
 use crate::connection::tasks::Tasks;
-use crate::platform::vms::{VmRole, Vms};
 use crate::prelude::*;
 use crate::process::entry::Entry;
 
@@ -24,13 +22,9 @@
 pub(super) const MESH_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause between two looks at the key files and the peers' certificates.
 pub(super) const KEY_INTERVAL: Duration = Duration::from_secs(1);
-/// Pause between two reads of the platform's list by an entry without peers in its domain.
-const LIST_INTERVAL: Duration = Duration::from_secs(1);
-/// Most entries that share the reads of the list, each reading it less often.
-const LIST_READERS: u32 = 4;
 
 /// Connects to peers until the entry stops. Returns at once for an entry without keys.
-pub async fn run(entry: Rc<Entry>, vms: Rc<dyn Vms>) -> super::Result<()> {
+pub async fn run(entry: Rc<Entry>) -> super::Result<()> {
     let Some(settings) = entry.settings.peers.clone() else {
         log::warn!("no keys are configured; the entry runs without peers");
         return Ok(());
@@ -40,7 +34,6 @@
     let (sender, accepted) = channel();
     let tasks = Tasks::default();
     tasks.spawn(endpoint.clone().read(sender));
-    tasks.spawn(follow_list(entry.clone(), vms));
     tasks.spawn(document::follow(entry.clone()));
     Mesh::new(entry, endpoint, settings, accepted).run().await;
     tasks.stop();
@@ -206,30 +199,3 @@
         }
     }
 }
-
-/// Follows the platform's list until the entry stops.
-async fn follow_list(entry: Rc<Entry>, vms: Rc<dyn Vms>) {
-    while !entry.peers.is_stopping() {
-        match vms.list().await {
-            Ok(list) => {
-                if let Some(members) = &mut *entry.peers.members.borrow_mut() {
-                    members.list(&list);
-                }
-                let leaving = list.iter().filter(|vm| vm.role == VmRole::Target && vm.leaving);
-                for vm in leaving {
-                    entry.fleet.borrow_mut().mark_leaving(vm.address);
-                }
-            }
-            Err(error) => log::debug!("cannot read the list of VMs: {error}"),
-        }
-        monoio::time::sleep(list_pause(&entry)).await;
-    }
-}
-
-/// Peers of a failure domain tell each other what the list says, so each reads it less often.
-fn list_pause(entry: &Entry) -> Duration {
-    let links = entry.peers.links().into_iter();
-    let near = links.filter(|link| link.hello.domain == entry.settings.domain).count();
-    let readers = (1 + near as u32).min(LIST_READERS);
-    LIST_INTERVAL.mul_f64(f64::from(readers) * rand::rng().random_range(0.75..1.25))
-}
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -31,6 +31,7 @@
 
 use super::entry::Entry;
 use super::settings::Settings;
+use crate::platform::vms::Vm;
 use crate::prelude::*;
 
 /// The result of an exchange with peers.
@@ -106,6 +107,13 @@
         self.fault.replace(fault);
     }
 
+    /// Takes over the platform's list of VMs.
+    pub fn take_list(&self, list: &[Vm]) {
+        if let Some(members) = &mut *self.members.borrow_mut() {
+            members.list(list);
+        }
+    }
+
     /// Whether the entry is ending its connections.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.get()
