--- a/src/process/peers/document.rs
+++ b/src/process/peers/document.rs
@@ -65,3 +65,11 @@
     }
     Err(Error::Connection { reason: "the document is of another revision".into() })
 }
+
+/// What an entry tells its peers of its revision.
+pub fn announcement(entry: &Entry) -> Option<Announcement> {
+    let history = entry.configuration.history();
+    let revision = history.current().filter(|_| history.is_known())?;
+    let through = history.next().checked_sub(1)?;
+    Some(Announcement { number: revision.number, nonce: revision.nonce, through })
+}
--- a/src/process/peers/mesh.rs
+++ b/src/process/peers/mesh.rs
@@ -7,7 +7,7 @@
 use super::message::{Announcement, Message};
 use super::session::Session;
 use super::settings::PeerSettings;
-use super::{announcement, dial, document, keys};
+use super::{dial, document, keys};
 use crate::connection::quic::connection::Connection;
 use crate::connection::quic::endpoint::Endpoint;
 use crate::connection::tasks::Tasks;
@@ -116,7 +116,7 @@
 
     /// Tells peers of a revision that has come into force.
     fn announce(&mut self) {
-        let Some(latest) = announcement(&self.entry) else { return };
+        let Some(latest) = document::announcement(&self.entry) else { return };
         let is_known =
             |known: Announcement| (known.number, known.nonce) == (latest.number, latest.nonce);
         if self.announced.is_some_and(is_known) {
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -25,8 +25,7 @@
 use local_sync::oneshot;
 use members::Members;
 use message::{
-    Announcement, ClaimQuery, ClaimReply, Hello, MemberHint, Message, Reply, Request, FEATURES,
-    OLDEST, PROTOCOL,
+    ClaimQuery, ClaimReply, Hello, MemberHint, Message, Reply, Request, FEATURES, OLDEST, PROTOCOL,
 };
 
 use super::entry::Entry;
@@ -222,7 +221,7 @@
 
     /// Tells a new peer what the others know already.
     fn introduce(&self, entry: &Entry, link: &Link) {
-        if let Some(announcement) = announcement(entry) {
+        if let Some(announcement) = document::announcement(entry) {
             link.outbox.send(&Message::Revision(announcement));
         }
         for hints in self.member_hints().chunks(MAX_HINTS) {
@@ -293,11 +292,3 @@
         serde_json::json!({ "enabled": true, "connected": names, "known": members.len() })
     }
 }
-
-/// What an entry tells its peers of its revision.
-fn announcement(entry: &Entry) -> Option<Announcement> {
-    let history = entry.configuration.history();
-    let revision = history.current().filter(|_| history.is_known())?;
-    let through = history.next().checked_sub(1)?;
-    Some(Announcement { number: revision.number, nonce: revision.nonce, through })
-}
