--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -24,6 +24,7 @@
 use crate::platform::log::Log;
 use crate::platform::vms::Vms;
 use crate::prelude::*;
+use crate::request::holder;
 use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
@@ -58,6 +59,8 @@
         let metrics = Rc::new(Metrics::default());
         let limits = ClaimLimits::new(&settings.claims, settings.retention());
         let claims = Rc::new(Claims::new(&settings.name, limits, metrics.clone()));
+        let source = claims.clone();
+        peers.set_claims(Box::new(move |query| holder::reply(&source, query)));
         let probes = Probes::new(&settings.name);
         Self {
             settings,
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -27,6 +27,8 @@
     pub(super) targets: SlotMap<TargetKey, Target>,
     pub(super) services: SlotMap<ServiceId, ServiceState>,
     pub(super) random: SmallRng,
+    /// What peers do not know yet.
+    pub(super) news: News,
     /// Number of the newest call sent.
     pub(super) flight: u64,
     /// Failure domain of the entry.
@@ -39,8 +41,6 @@
     addresses: HashMap<SocketAddr, TargetKey>,
     names: HashMap<String, ServiceId>,
     budgets: HashMap<FlowKey, Budget>,
-    /// What peers do not know yet.
-    pub(super) news: News,
 }
 
 impl Fleet {
@@ -50,6 +50,7 @@
             targets: SlotMap::with_key(),
             services: SlotMap::with_key(),
             random: SmallRng::seed_from_u64(xxhash_rust::xxh3::xxh3_64(name.as_bytes())),
+            news: News::default(),
             flight: 0,
             domain: domain.into(),
             idle: None,
@@ -59,7 +60,6 @@
             addresses: HashMap::new(),
             names: HashMap::new(),
             budgets: HashMap::new(),
-            news: News::default(),
         }
     }
 
--- a/src/process/peers/message.rs
+++ b/src/process/peers/message.rs
@@ -1,6 +1,7 @@
 //! What entries tell each other.
 
 use crate::prelude::*;
+use crate::process::claims::key::Key;
 use crate::process::target::LoadReport;
 use crate::version::record::RenewRecord;
 
@@ -82,9 +83,11 @@
 }
 
 /// Asks the holder of a claim what became of the call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClaimQuery {
-    pub key: String,
+    pub key: Key,
+    /// Digest of the call that asks.
+    pub digest: u64,
 }
 
 /// What the holder of a claim knows.
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -25,12 +25,12 @@
 use local_sync::oneshot;
 use members::Members;
 use message::{
-    Announcement, ClaimQuery, ClaimReply, Hello, MemberHint, Message, Reply, Request, FEATURES,
-    OLDEST, PROTOCOL,
+    ClaimQuery, ClaimReply, Hello, MemberHint, Message, Reply, Request, FEATURES, OLDEST, PROTOCOL,
 };
 
 use super::entry::Entry;
 use super::settings::Settings;
+use crate::platform::vms::Vm;
 use crate::prelude::*;
 
 /// The result of an exchange with peers.
@@ -59,7 +59,7 @@
     is_stopping: Cell<bool>,
     leaving: RefCell<HashMap<SocketAddr, Instant>>,
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
-    pub(super) members: RefCell<Option<Members>>,
+    members: RefCell<Option<Members>>,
     visits: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
@@ -106,6 +106,13 @@
         self.fault.replace(fault);
     }
 
+    /// Takes over the platform's list of VMs.
+    pub fn take_list(&self, list: &[Vm]) {
+        if let Some(members) = &mut *self.members.borrow_mut() {
+            members.list(list);
+        }
+    }
+
     /// Whether the entry is ending its connections.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.get()
@@ -214,7 +221,7 @@
 
     /// Tells a new peer what the others know already.
     fn introduce(&self, entry: &Entry, link: &Link) {
-        if let Some(announcement) = announcement(entry) {
+        if let Some(announcement) = document::announcement(entry) {
             link.outbox.send(&Message::Revision(announcement));
         }
         for hints in self.member_hints().chunks(MAX_HINTS) {
@@ -285,11 +292,3 @@
         serde_json::json!({ "enabled": true, "connected": names, "known": members.len() })
     }
 }
-
-/// What an entry tells its peers of its revision.
-fn announcement(entry: &Entry) -> Option<Announcement> {
-    let history = entry.configuration.history();
-    let revision = history.current().filter(|_| history.is_known())?;
-    let through = history.next().checked_sub(1)?;
-    Some(Announcement { number: revision.number, nonce: revision.nonce, through })
-}
--- a/src/process/peers/request_wire.rs
+++ b/src/process/peers/request_wire.rs
@@ -7,6 +7,7 @@
 use super::wire::{frame, payload};
 use super::Result;
 use crate::prelude::*;
+use crate::process::claims::key::Key;
 use crate::version::record::RenewRecord;
 
 const CLAIM: u16 = 32;
@@ -17,7 +18,8 @@
 
 #[derive(Deserialize, Serialize)]
 struct ClaimWire {
-    key: String,
+    key: Key,
+    digest: u64,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -54,7 +56,7 @@
     /// Encodes the request.
     pub fn encode(&self) -> Frame {
         match self {
-            Self::Claim(query) => frame(CLAIM, &ClaimWire { key: query.key.clone() }),
+            Self::Claim(query) => frame(CLAIM, &ClaimWire { key: query.key, digest: query.digest }),
             Self::Document { number } => frame(DOCUMENT, &DocumentWire { number: *number }),
         }
     }
@@ -62,7 +64,10 @@
     /// Decodes a frame; an unknown kind gives `None`.
     pub fn decode(frame: &Frame) -> Result<Option<Self>> {
         let request = match frame.kind {
-            CLAIM => Self::Claim(ClaimQuery { key: payload::<ClaimWire>(frame)?.key }),
+            CLAIM => {
+                let wire: ClaimWire = payload(frame)?;
+                Self::Claim(ClaimQuery { key: wire.key, digest: wire.digest })
+            }
             DOCUMENT => Self::Document { number: payload::<DocumentWire>(frame)?.number },
             _ => return Ok(None),
         };
--- a/src/process/watch.rs
+++ b/src/process/watch.rs
@@ -34,9 +34,7 @@
 
 fn apply(entry: &Entry, list: &[Vm]) {
     entry.fleet.borrow_mut().apply_vms(list, entry.listed_address(), Instant::now());
-    if let Some(members) = &mut *entry.peers.members.borrow_mut() {
-        members.list(list);
-    }
+    entry.peers.take_list(list);
 }
 
 /// Peers of a failure domain tell each other what the list says, so each reads it less often.
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 
 use super::header;
+use super::holder;
 use super::matched::Matched;
 use crate::prelude::*;
 use crate::process::claims::admit::{Admission, Request};
@@ -45,7 +46,14 @@
         Claim::Needed(request) => request,
     };
     match entry.claims.admit(request).await {
+        Admission::Answer(answer) if is_in_use(&answer) => {
+            holder::ask(entry, &request, answer).await
+        }
         Admission::Answer(answer) => answer,
         Admission::Run(grant) => grant.finish(run.await),
     }
 }
+
+fn is_in_use(answer: &Answer) -> bool {
+    answer.header(header::CODE) == Some(&Code::RefusedDuplicate.number().to_string())
+}
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,6 +6,7 @@
 pub mod deadline;
 pub mod dispatch;
 pub mod header;
+pub mod holder;
 pub mod keyed;
 pub mod matched;
 pub mod retry;
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -4,6 +4,7 @@
 
 use cornellink::platform::vms::{Vm, VmRole};
 use cornellink::prelude::*;
+use cornellink::process::claims::key::Key;
 use cornellink::process::entry::Entry;
 use cornellink::process::follower::install;
 use cornellink::process::outcome::Signs;
@@ -159,7 +160,7 @@
         for entry in &entries[1..] {
             let name = entry.settings.name.clone();
             entry.peers.set_claims(Box::new(move |query: &ClaimQuery| {
-                let body = format!("{name} {}", query.key);
+                let body = format!("{name} {}", query.digest);
                 let mut answer = Answer::new(StatusCode::CREATED, body);
                 answer.set("cornellink-load", "running=1");
                 ClaimReply::Done { code: Code::Answered, answer }
@@ -173,12 +174,12 @@
                 assert!(Instant::now() < end, "gave up waiting for `{holder}`");
                 // An entry whose name is not known yet is refused at once.
                 monoio::time::sleep(Duration::from_millis(5)).await;
-                let query = ClaimQuery { key: "k-1".into() };
+                let query = ClaimQuery { key: Key::new("north", "jobs", b"k-1"), digest: 17 };
                 reply = entries[0].peers.ask_claim(holder, query, TIMEOUT).await;
             }
             let Some(ClaimReply::Done { code, answer }) = reply else { panic!("{reply:?}") };
             assert_eq!((code, answer.status), (Code::Answered, StatusCode::CREATED));
-            assert_eq!(answer.body, format!("{holder} k-1"));
+            assert_eq!(answer.body, format!("{holder} 17"));
             assert_eq!(answer.header("cornellink-load"), Some("running=1"));
         }
     })
@@ -198,7 +199,7 @@
             ClaimReply::Done { code: Code::Answered, answer }
         }));
         until("they are connected", || !names(&entries[0]).is_empty()).await;
-        let query = ClaimQuery { key: "large".into() };
+        let query = ClaimQuery { key: Key::new("north", "jobs", b"large"), digest: 18 };
         let reply = entries[0].peers.ask_claim("holds", query, TIMEOUT).await;
         let Some(ClaimReply::Done { answer, .. }) = reply else { panic!("no answer") };
         assert!(answer.body == body);
