--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -11,6 +11,7 @@
 pub mod guard;
 pub mod limits;
 pub mod memory;
+pub mod quic;
 pub mod server;
 pub mod target;
 pub mod tasks;
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -104,6 +104,7 @@
                 admin,
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
+                peers: None,
                 retention_ms: RETENTION.as_millis() as u64,
                 log: "warn".into(),
                 callers: Default::default(),
--- a/src/process/outcome.rs
+++ b/src/process/outcome.rs
@@ -67,12 +67,13 @@
     /// Takes what a target says of itself, in an answer or in a probe's result.
     pub fn observe(&mut self, key: TargetKey, signs: Signs, now: Instant) {
         let Some(target) = self.targets.get_mut(key) else { return };
-        if signs.draining {
-            target.leaving.leave(now);
-        }
+        let address = target.address;
         if let Some(report) = signs.report {
-            let total = report.running.saturating_add(report.queued);
-            target.others.observe(total, target.flights.len(), target.slots, now);
+            target.others.observe(report.total(), target.flights.len(), target.slots, now);
+            self.news.load(address, report);
+        }
+        if signs.draining {
+            self.leave(address, now);
         }
     }
 
