--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -10,6 +10,7 @@
 use super::follower;
 use super::grant;
 use super::observe::Metrics;
+use super::peers::{mesh, Peers};
 use super::probes::{self, Probes};
 use super::recorder::Recorder;
 use super::settings::Settings;
@@ -41,6 +42,7 @@
     pub fleet: Rc<RefCell<Fleet>>,
     pub metrics: Rc<Metrics>,
     pub claims: Rc<Claims>,
+    pub peers: Peers,
     pub probes: Probes,
     pub recorder: Recorder,
     pub shutdown: Shutdown,
@@ -55,6 +57,7 @@
         let metrics = Rc::new(Metrics::default());
         let limits = ClaimLimits::new(&settings.claims, settings.retention());
         let claims = Rc::new(Claims::new(&settings.name, limits, metrics.clone()));
+        let peers = Peers::new(&settings);
         let probes = Probes::new(&settings.name);
         Self {
             settings,
@@ -62,6 +65,7 @@
             fleet: Rc::new(RefCell::new(fleet)),
             metrics,
             claims,
+            peers,
             probes,
             recorder: Recorder::default(),
             shutdown: Shutdown::default(),
@@ -89,6 +93,11 @@
         self.revision.borrow().is_some() && !self.shutdown.is_requested()
     }
 
+    /// The address by which the list of VMs names this entry.
+    pub fn listed_address(&self) -> SocketAddr {
+        self.settings.peers.as_ref().map_or(self.settings.listen, |peers| peers.address)
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -131,14 +140,25 @@
     background.spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
     background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
+    let peers = Tasks::default();
+    peers.spawn(run_peers(entry.clone()));
     Callers::new(entry.clone(), listener).serve().await;
     entry.claims.flush(FLUSH_LIMIT).await;
+    entry.peers.stop();
+    peers.join().await;
     background.stop();
     background.join().await;
     log::info!(name = entry.settings.name.as_str(); "entry stopped");
     Ok(())
 }
 
+async fn run_peers(entry: Rc<Entry>) {
+    if let Err(error) = mesh::run(entry.clone()).await {
+        log::error!("the entry runs without peers: {error}");
+        entry.peers.set_fault(Some(error.to_string()));
+    }
+}
+
 async fn handle_admin(entry: Rc<Entry>, call: Call) -> Answer {
     match call.uri.path() {
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
@@ -170,6 +190,7 @@
     let status = serde_json::json!({
         "name": settings.name,
         "domain": settings.domain,
+        "peers": entry.peers.status(),
         "revision": revision,
         "ready": revision.is_some(),
         "configuration": entry.configuration.status(),
--- a/src/process/others.rs
+++ b/src/process/others.rs
@@ -31,6 +31,11 @@
         self.seen
     }
 
+    /// Whether the newest report is from before `at`.
+    pub fn is_older(&self, at: Instant) -> bool {
+        self.seen.is_none_or(|seen| seen < at)
+    }
+
     /// The expected number of others' calls at `now`; `span` is the time a call takes.
     pub fn estimate(&self, now: Instant, span: Duration) -> f64 {
         let Some(seen) = self.seen else { return 0.0 };
--- a/src/process/probes/prober.rs
+++ b/src/process/probes/prober.rs
@@ -50,7 +50,6 @@
     entry.metrics.probe("answered");
     if let Some(result) = ProbeResult::parse(due.address, &answer, sent) {
         entry.fleet.borrow_mut().probed(&result);
-        entry.probes.offer(result);
     }
 }
 
