Do not let the latency benchmark hold on a busy machine

A run at load 13 on 10 cores printed "holds": true with 22 ms at p99 for direct calls and a negative difference. The benchmark now holds only if p99 of the direct calls is at most three times the bound.

--- a/benches/added_latency.rs
+++ b/benches/added_latency.rs
@@ -29,6 +29,9 @@
 const SEGMENTS: usize = 4;
 /// Bound on the latency added at p99 in microseconds.
 const BOUND_US: i64 = 1700;
+/// Largest p99 of the direct calls that can show the bound; on a busy machine the difference of two
+/// large quantiles says nothing.
+const MAX_DIRECT_US: i64 = 3 * BOUND_US;
 const SATURATION: Duration = Duration::from_secs(6);
 const SENDERS: usize = 3;
 const CONNECTIONS: usize = 24;
@@ -55,9 +58,11 @@
     let (rate, per_core) = saturate(&entry);
     let at = |histogram: &Histogram<u64>, quantile| histogram.value_at_quantile(quantile) as i64;
     let added = |quantile| at(&through, quantile) - at(&direct, quantile);
+    let valid = at(&direct, 0.99) <= MAX_DIRECT_US;
     let result = serde_json::json!({
         "bench": "added_latency",
-        "holds": added(0.99) <= BOUND_US && failed == 0,
+        "holds": valid && added(0.99) <= BOUND_US && failed == 0,
+        "baselineValid": valid,
         "callsPerSecond": RATE,
         "calls": through.len(),
         "failed": failed,
