--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -104,6 +104,8 @@
                 admin,
                 domain: DOMAINS[index % DOMAINS.len()].into(),
                 platform,
+                peers: None,
+                claims: Default::default(),
                 retention_ms: RETENTION.as_millis() as u64,
                 log: "warn".into(),
                 callers: Default::default(),
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -3,11 +3,15 @@
 use monoio::net::TcpListener;
 
 use super::callers::Callers;
+use super::claims::limits::ClaimLimits;
+use super::claims::{self, Claims};
 use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
 use super::grant;
 use super::observe::Metrics;
+use super::peers::{mesh, Peers};
+use super::probes::{self, Probes};
 use super::recorder::Recorder;
 use super::settings::Settings;
 use super::shutdown::{Shutdown, Signals};
@@ -20,6 +24,7 @@
 use crate::platform::log::Log;
 use crate::platform::vms::Vms;
 use crate::prelude::*;
+use crate::request::holder;
 use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
@@ -28,12 +33,18 @@
 /// Longest wait for the list of VMs, within the 2 s in which a leaving target must be seen.
 const VMS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait at the end for the results of claims to reach the log.
+const FLUSH_LIMIT: Duration = Duration::from_secs(2);
+
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
     pub configuration: Configuration,
     pub fleet: Rc<RefCell<Fleet>>,
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
+    pub peers: Peers,
+    pub claims: Rc<Claims>,
+    pub probes: Probes,
     pub recorder: Recorder,
     pub shutdown: Shutdown,
     revision: RefCell<Option<Rc<Revision>>>,
@@ -44,11 +55,21 @@
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
         let fleet = Fleet::new(&settings.name, &settings.domain);
+        let peers = Peers::new(&settings);
+        let metrics = Rc::new(Metrics::default());
+        let limits = ClaimLimits::new(&settings.claims, settings.retention());
+        let claims = Rc::new(Claims::new(&settings.name, limits, metrics.clone()));
+        let source = claims.clone();
+        peers.set_claims(Box::new(move |query| holder::reply(&source, query)));
+        let probes = Probes::new(&settings.name);
         Self {
             settings,
             configuration: Configuration::default(),
             fleet: Rc::new(RefCell::new(fleet)),
-            metrics: Metrics::default(),
+            peers,
+            metrics,
+            claims,
+            probes,
             recorder: Recorder::default(),
             shutdown: Shutdown::default(),
             revision: RefCell::default(),
@@ -65,6 +86,7 @@
     pub fn set_revision(&self, revision: Option<Rc<Revision>>) {
         if let Some(revision) = &revision {
             self.fleet.borrow_mut().apply(&revision.document, Instant::now());
+            self.claims.set_entries(revision.document.max_entries);
         }
         self.revision.replace(revision);
     }
@@ -74,6 +96,11 @@
         self.revision.borrow().is_some() && !self.shutdown.is_requested()
     }
 
+    /// The address by which the list of VMs names this entry.
+    pub fn listed_address(&self) -> SocketAddr {
+        self.settings.peers.as_ref().map_or(self.settings.listen, |peers| peers.address)
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -108,19 +135,33 @@
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
     let background = Tasks::default();
+    background.spawn(claims::tasks::run(entry.claims.clone(), log.clone()));
+    background.spawn(probes::run(entry.clone(), log.clone()));
     background.spawn(follower::follow(entry.clone(), log));
     background.spawn(grant::serve_queues(entry.fleet.clone()));
     let vms: Rc<dyn Vms> = Rc::new(HttpVms::new(entry.settings.platform, VMS_TIMEOUT));
     background.spawn(watch::watch(entry.clone(), vms));
     let state = entry.clone();
     background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
+    let peers = Tasks::default();
+    peers.spawn(run_peers(entry.clone()));
     Callers::new(entry.clone(), listener).serve().await;
+    entry.claims.flush(FLUSH_LIMIT).await;
+    entry.peers.stop();
+    peers.join().await;
     background.stop();
     background.join().await;
     log::info!(name = entry.settings.name.as_str(); "entry stopped");
     Ok(())
 }
 
+async fn run_peers(entry: Rc<Entry>) {
+    if let Err(error) = mesh::run(entry.clone()).await {
+        log::error!("the entry runs without peers: {error}");
+        entry.peers.set_fault(Some(error.to_string()));
+    }
+}
+
 async fn handle_admin(entry: Rc<Entry>, call: Call) -> Answer {
     match call.uri.path() {
         "/metrics" => Answer::new(StatusCode::OK, entry.metrics.render()),
@@ -152,6 +193,7 @@
     let status = serde_json::json!({
         "name": settings.name,
         "domain": settings.domain,
+        "peers": entry.peers.status(),
         "revision": revision,
         "ready": revision.is_some(),
         "configuration": entry.configuration.status(),
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -3,6 +3,8 @@
 use serde::Deserialize;
 
 use super::caller_settings::CallerSettings;
+use super::claims::limits::ClaimSettings;
+use super::peers::settings::PeerSettings;
 use super::shutdown::ShutdownSettings;
 use super::Result;
 use crate::prelude::*;
@@ -28,8 +30,14 @@
     pub domain: String,
     /// Address of the platform's log and list of VMs.
     pub platform: SocketAddr,
+    /// Keys and addresses for peers; without them the entry runs without peers.
+    #[serde(default)]
+    pub peers: Option<PeerSettings>,
     /// How long the platform's log keeps a record, in milliseconds.
     pub retention_ms: u64,
+    /// Bounds of the claims for keyed calls.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// Log filter.
     pub log: String,
     /// Bounds on callers.
@@ -54,8 +62,10 @@
             Kind::Integer { min: 500, max: MAX_RETENTION_MS },
             "86400000",
         ),
+        Field::optional("claims", Kind::Object(&CLAIMS)),
         Field::default("log", Kind::Text { max: 256 }, "\"info\""),
         Field::optional("callers", Kind::Object(&CALLERS)),
+        Field::optional("peers", Kind::Object(&PEERS)),
         Field::optional("shutdown", Kind::Object(&SHUTDOWN)),
     ],
 };
@@ -83,6 +93,34 @@
     ],
 };
 
+/// Longest path of a file.
+const MAX_PATH: usize = 4096;
+/// Most static peers.
+const MAX_STATIC: usize = 64;
+
+const PEERS: Schema = Schema {
+    fields: &[
+        Field::required("address", Kind::Address),
+        Field::required("authority", Kind::Text { max: MAX_PATH }),
+        Field::required("certificate", Kind::Text { max: MAX_PATH }),
+        Field::required("key", Kind::Text { max: MAX_PATH }),
+        Field::default("static", Kind::List { of: &Kind::Address, min: 0, max: MAX_STATIC }, "[]"),
+    ],
+};
+
+/// Most bytes of responses that can be kept for duplicates.
+const MAX_RESPONSES: u64 = 1024 * 1024 * 1024;
+/// Most claims that can be kept in memory.
+const MAX_CLAIMS: u64 = 10_000_000;
+
+const CLAIMS: Schema = Schema {
+    fields: &[
+        Field::optional("responseBytes", Kind::Integer { min: 0, max: MAX_RESPONSES }),
+        Field::optional("tableEntries", Kind::Integer { min: 1, max: MAX_CLAIMS }),
+        Field::optional("windowMs", Kind::Integer { min: 1, max: MAX_RETENTION_MS / 2 }),
+    ],
+};
+
 const SHUTDOWN: Schema =
     Schema { fields: &[Field::optional("delayMs", TIME), Field::optional("limitMs", TIME)] };
 
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -18,20 +18,25 @@
 /// What the caller is told if no further attempt is made.
 struct Last {
     answer: Answer,
-    /// An earlier attempt may have run, so that the outcome is not "not run".
-    unknown: Option<Code>,
+    /// An attempt has run or may have run, so that the outcome is no longer "not run".
+    has_run: bool,
 }
 
 impl Last {
     fn new() -> Self {
-        Self { answer: Answer::own(Code::NotRunNoTarget), unknown: None }
+        Self { answer: Answer::own(Code::NotRunNoTarget), has_run: false }
+    }
+
+    fn answered(&mut self, answer: Answer) {
+        self.answer = answer;
+        self.has_run = true;
     }
 
     fn fail(&mut self, code: Code) {
-        if code.is_unknown() {
-            self.unknown = Some(code);
+        if code.is_unknown() || !self.has_run {
+            self.answer = Answer::own(code);
         }
-        self.answer = Answer::own(self.unknown.unwrap_or(code));
+        self.has_run |= code.is_unknown();
     }
 }
 
@@ -41,6 +46,7 @@
     call.set(header::CLASS, &matched.class().name);
     entry.fleet.borrow_mut().budget(matched.flow).earn(matched.workspace().retry_percent);
     let (mut tried, mut last) = (Vec::new(), Last::new());
+    let max_attempts = max_attempts(matched, &call);
     let mut number = matched.attempt;
     loop {
         call.set(header::ATTEMPT, &number.to_string());
@@ -51,7 +57,7 @@
                 if !matched.class().idempotent || !is_transient(answer.status) {
                     return answer;
                 }
-                last.answer = answer;
+                last.answered(answer);
             }
             // A refusal of the entry's own does not hide what an earlier attempt has shown.
             Attempt::NotSent(_) if number > matched.attempt => return last.answer,
@@ -65,7 +71,7 @@
             Attempt::NotRun(code) => last.fail(code),
         }
         let pause = jitter(number);
-        if number >= MAX_ATTEMPTS || matched.attempt > 1 || pause >= left(matched) {
+        if number >= max_attempts || matched.attempt > 1 || pause >= left(matched) {
             return last.answer;
         }
         if !entry.fleet.borrow_mut().budget(matched.flow).spend() {
@@ -78,6 +84,16 @@
     }
 }
 
+/// Most attempts; a non-idempotent call without a key gets one.
+fn max_attempts(matched: &Matched, call: &Call) -> u32 {
+    let has_key = call.headers.contains_key(header::IDEMPOTENCY_KEY);
+    if matched.class().idempotent || has_key {
+        MAX_ATTEMPTS
+    } else {
+        1
+    }
+}
+
 /// Statuses that another target may not repeat.
 fn is_transient(status: StatusCode) -> bool {
     matches!(status.as_u16(), 500 | 502..=504)
