--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' command line.
 
+pub mod authority;
 pub mod check;
 pub mod codes;
 pub mod diff;
@@ -8,10 +9,12 @@
 pub mod explain;
 pub mod fields;
 pub mod history;
+pub mod key;
 pub mod options;
 pub mod promote;
 pub mod publication;
 pub mod publish;
+pub mod restore;
 pub mod status;
 pub mod table;
 pub mod timeline;
@@ -36,15 +39,17 @@
         Some(("explain", matches)) => explain::run(matches),
         Some(("fields", matches)) => fields::run(matches),
         Some(("history", matches)) => history::run(matches),
+        Some(("key", matches)) => key::run(matches),
         Some(("promote", matches)) => promote::run(matches),
         Some(("publish", matches)) => publish::run(matches),
+        Some(("restore", matches)) => restore::run(matches),
         Some(("status", matches)) => status::run(matches),
         _ => Ok(Exit::Done),
     };
     let exit = outcome.unwrap_or_else(|error| {
         eprintln!("{error}");
         match error {
-            Error::Invalid { .. } => Exit::Refused,
+            Error::Invalid { .. } | Error::Key { .. } => Exit::Refused,
             _ => Exit::Unreachable,
         }
     });
@@ -64,8 +69,10 @@
             explain::command(),
             fields::command(),
             history::command(),
+            key::command(),
             promote::command(),
             publish::command(),
+            restore::command(),
             status::command(),
         ])
         .after_help(exit::HELP)
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -10,6 +10,8 @@
 pub mod framing;
 pub mod guard;
 pub mod limits;
+pub mod memory;
+pub mod quic;
 pub mod server;
 pub mod target;
 pub mod tasks;
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -9,11 +9,14 @@
 
 use super::budget::Budget;
 use super::health::Health;
+use super::news::News;
+use super::outcome::Signs;
 use super::pool::Pool;
+use super::probes::result::ProbeResult;
 use super::queue::FlowKey;
 use super::service::{ServiceId, ServiceState};
 use super::share::{long_slots, Place};
-use super::target::{Target, TargetKey};
+use super::target::{LoadReport, Target, TargetKey};
 use crate::platform::vms::{Vm, VmRole};
 use crate::prelude::*;
 use crate::version::document::Document;
@@ -24,6 +27,8 @@
     pub(super) targets: SlotMap<TargetKey, Target>,
     pub(super) services: SlotMap<ServiceId, ServiceState>,
     pub(super) random: SmallRng,
+    /// What peers do not know yet.
+    pub(super) news: News,
     /// Number of the newest call sent.
     pub(super) flight: u64,
     /// Failure domain of the entry.
@@ -45,6 +50,7 @@
             targets: SlotMap::with_key(),
             services: SlotMap::with_key(),
             random: SmallRng::seed_from_u64(xxhash_rust::xxh3::xxh3_64(name.as_bytes())),
+            news: News::default(),
             flight: 0,
             domain: domain.into(),
             idle: None,
@@ -165,10 +171,46 @@
         self.addresses.get(&address).copied()
     }
 
-    /// Takes a sign, from wherever it comes, that a target leaves.
+    /// Takes a sign, from wherever it comes, that a target leaves; the first one is news for peers.
     pub fn leave(&mut self, address: SocketAddr, now: Instant) {
         let Some(target) = self.target(address) else { return };
-        self.targets[target].leaving.leave(now);
+        let leaving = &mut self.targets[target].leaving;
+        if !leaving.is_leaving() {
+            self.news.leave(address);
+        }
+        leaving.leave(now);
+    }
+
+    /// Takes a peer's load report of a target; `age` is the time since the target sent it.
+    pub fn hint(&mut self, address: SocketAddr, report: LoadReport, age: Duration) {
+        let Some(key) = self.target(address) else { return };
+        let Some(at) = Instant::now().checked_sub(age) else { return };
+        let target = &mut self.targets[key];
+        if target.others.is_older(at) {
+            target.others.observe(report.total(), target.flights.len(), target.slots, at);
+        }
+    }
+
+    /// Takes what peers do not know yet.
+    pub fn take_news(&mut self) -> News {
+        std::mem::take(&mut self.news)
+    }
+
+    /// Takes the result of a probe.
+    pub fn probed(&mut self, result: &ProbeResult) {
+        let Some(key) = self.target(result.address) else { return };
+        let signs = Signs { report: Some(result.report), draining: result.draining, timed: false };
+        self.observe(key, signs, result.at);
+    }
+
+    /// When a target last reported its load.
+    pub fn heard(&self, address: SocketAddr) -> Option<Instant> {
+        self.targets[self.target(address)?].others.seen()
+    }
+
+    /// The connections to the target at an address.
+    pub fn pool_at(&self, address: SocketAddr) -> Option<Rc<Pool>> {
+        self.pool(self.target(address)?)
     }
 
     /// The connections to a target.
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -2,6 +2,7 @@
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
+use crate::connection::quic::traffic::Traffic;
 use crate::prelude::*;
 
 /// Bounds of the latency histograms' buckets in seconds.
@@ -42,6 +43,66 @@
         metrics::with_local_recorder(&self.recorder, || metrics::counter!(name).increment(1));
     }
 
+    /// Counts a message of a peer and its bytes; `direction` is `sent` or `received`.
+    pub fn peer_message(&self, direction: &'static str, bytes: usize) {
+        metrics::with_local_recorder(&self.recorder, || {
+            let labels = [("direction", direction)];
+            metrics::counter!("cornellink_peer_messages_total", &labels).increment(1);
+            let bytes = bytes as u64;
+            metrics::counter!("cornellink_peer_message_bytes_total", &labels).increment(bytes);
+        });
+    }
+
+    /// Counts load hints sent to peers.
+    pub fn peer_hints(&self, count: u64) {
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_peer_hints_total").increment(count);
+        });
+    }
+
+    /// Takes over what the socket for peers has counted.
+    pub fn peer_traffic(&self, traffic: &Traffic) {
+        let counts = [
+            ("sent", traffic.sent_bytes.get(), traffic.sent_datagrams.get()),
+            ("received", traffic.received_bytes.get(), traffic.received_datagrams.get()),
+        ];
+        metrics::with_local_recorder(&self.recorder, || {
+            for (direction, bytes, datagrams) in counts {
+                let labels = [("direction", direction)];
+                metrics::counter!("cornellink_peer_bytes_total", &labels).absolute(bytes);
+                metrics::counter!("cornellink_peer_datagrams_total", &labels).absolute(datagrams);
+            }
+        });
+    }
+
+    /// Adds to the claims by outcome, a closed set of words.
+    pub fn claim(&self, outcome: &'static str) {
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_claims_total", "outcome" => outcome).increment(1);
+        });
+    }
+
+    /// Adds to the probes by outcome, a closed set of words.
+    pub fn probe(&self, outcome: &'static str) {
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_probes_total", "outcome" => outcome).increment(1);
+        });
+    }
+
+    /// Records an append to the stream `claims`.
+    pub fn append(&self, confirmed: bool, whole: Duration) {
+        let confirmed = if confirmed { "true" } else { "false" };
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::histogram!("cornellink_append_seconds", "confirmed" => confirmed)
+                .record(whole);
+        });
+    }
+
+    /// Sets a gauge without labels.
+    pub fn gauge(&self, name: &'static str, value: f64) {
+        metrics::with_local_recorder(&self.recorder, || metrics::gauge!(name).set(value));
+    }
+
     /// The metrics as Prometheus text.
     pub fn render(&self) -> String {
         self.handle.run_upkeep();
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -66,6 +66,12 @@
         }
     };
     let left = matched.deadline.left(Instant::now());
+    // A pause of the process can have used up the deadline; a claim may not be used after it.
+    if left.is_zero() {
+        drop(lease);
+        grant.end(Outcome::Expired);
+        return Attempt::NotSent(Code::NotRunDeadline);
+    }
     call.set(header::DEADLINE, &left.as_millis().to_string());
     let result = monoio::time::timeout(left, lease.connection().exchange(call)).await;
     let has_sent = lease.connection().has_sent();
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -46,6 +46,7 @@
     call.set(header::CLASS, &matched.class().name);
     entry.fleet.borrow_mut().budget(matched.flow).earn(matched.workspace().retry_percent);
     let (mut tried, mut last) = (Vec::new(), Last::new());
+    let max_attempts = max_attempts(matched, &call);
     let mut number = matched.attempt;
     loop {
         call.set(header::ATTEMPT, &number.to_string());
@@ -70,7 +71,7 @@
             Attempt::NotRun(code) => last.fail(code),
         }
         let pause = jitter(number);
-        if number >= MAX_ATTEMPTS || matched.attempt > 1 || pause >= left(matched) {
+        if number >= max_attempts || matched.attempt > 1 || pause >= left(matched) {
             return last.answer;
         }
         if !entry.fleet.borrow_mut().budget(matched.flow).spend() {
@@ -83,6 +84,16 @@
     }
 }
 
+/// Most attempts; a non-idempotent call without a key gets one.
+fn max_attempts(matched: &Matched, call: &Call) -> u32 {
+    let has_key = call.headers.contains_key(header::IDEMPOTENCY_KEY);
+    if matched.class().idempotent || has_key {
+        MAX_ATTEMPTS
+    } else {
+        1
+    }
+}
+
 /// Statuses that another target may not repeat.
 fn is_transient(status: StatusCode) -> bool {
     matches!(status.as_u16(), 500 | 502..=504)
