--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -3,12 +3,15 @@
 use monoio::net::TcpListener;
 
 use super::callers::Callers;
+use super::claims::limits::ClaimLimits;
+use super::claims::{self, Claims};
 use super::configuration::Configuration;
 use super::fleet::Fleet;
 use super::follower;
 use super::grant;
 use super::observe::Metrics;
 use super::peers::{mesh, Peers};
+use super::probes::{self, Probes};
 use super::recorder::Recorder;
 use super::settings::Settings;
 use super::shutdown::{Shutdown, Signals};
@@ -29,13 +32,18 @@
 /// Longest wait for the list of VMs, within the 2 s in which a leaving target must be seen.
 const VMS_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest wait at the end for the results of claims to reach the log.
+const FLUSH_LIMIT: Duration = Duration::from_secs(2);
+
 /// State that the tasks of one entry share.
 pub struct Entry {
     pub settings: Settings,
     pub configuration: Configuration,
     pub fleet: Rc<RefCell<Fleet>>,
-    pub metrics: Metrics,
+    pub metrics: Rc<Metrics>,
     pub peers: Peers,
+    pub claims: Rc<Claims>,
+    pub probes: Probes,
     pub recorder: Recorder,
     pub shutdown: Shutdown,
     revision: RefCell<Option<Rc<Revision>>>,
@@ -45,14 +53,20 @@
 impl Entry {
     /// Creates the state of an entry.
     pub fn new(settings: Settings) -> Self {
-        let peers = Peers::new(&settings);
         let fleet = Fleet::new(&settings.name, &settings.domain);
+        let peers = Peers::new(&settings);
+        let metrics = Rc::new(Metrics::default());
+        let limits = ClaimLimits::new(&settings.claims, settings.retention());
+        let claims = Rc::new(Claims::new(&settings.name, limits, metrics.clone()));
+        let probes = Probes::new(&settings.name);
         Self {
             settings,
             configuration: Configuration::default(),
             fleet: Rc::new(RefCell::new(fleet)),
-            metrics: Metrics::default(),
             peers,
+            metrics,
+            claims,
+            probes,
             recorder: Recorder::default(),
             shutdown: Shutdown::default(),
             revision: RefCell::default(),
@@ -69,6 +83,7 @@
     pub fn set_revision(&self, revision: Option<Rc<Revision>>) {
         if let Some(revision) = &revision {
             self.fleet.borrow_mut().apply(&revision.document, Instant::now());
+            self.claims.set_entries(revision.document.max_entries);
         }
         self.revision.replace(revision);
     }
@@ -78,6 +93,11 @@
         self.revision.borrow().is_some() && !self.shutdown.is_requested()
     }
 
+    /// The address by which the list of VMs names this entry.
+    pub fn listed_address(&self) -> SocketAddr {
+        self.settings.peers.as_ref().map_or(self.settings.listen, |peers| peers.address)
+    }
+
     /// A new call identifier, unique in the environment.
     pub fn next_call_id(&self) -> String {
         self.calls.set(self.calls.get() + 1);
@@ -112,6 +132,8 @@
 ) -> Result<()> {
     log::info!(name = entry.settings.name.as_str(); "entry started");
     let background = Tasks::default();
+    background.spawn(claims::tasks::run(entry.claims.clone(), log.clone()));
+    background.spawn(probes::run(entry.clone(), log.clone()));
     background.spawn(follower::follow(entry.clone(), log));
     background.spawn(grant::serve_queues(entry.fleet.clone()));
     let vms: Rc<dyn Vms> = Rc::new(HttpVms::new(entry.settings.platform, VMS_TIMEOUT));
@@ -121,6 +143,7 @@
     let peers = Tasks::default();
     peers.spawn(run_peers(entry.clone()));
     Callers::new(entry.clone(), listener).serve().await;
+    entry.claims.flush(FLUSH_LIMIT).await;
     entry.peers.stop();
     peers.join().await;
     background.stop();
--- a/src/process/others.rs
+++ b/src/process/others.rs
@@ -17,11 +17,6 @@
 }
 
 impl Others {
-    /// Whether what is known is older than a report of `at`.
-    pub fn is_older(&self, at: Instant) -> bool {
-        self.seen.is_none_or(|seen| seen < at)
-    }
-
     /// Takes a report of `total` calls, of which `own` are this entry's.
     pub fn observe(&mut self, total: u32, own: usize, slots: u32, now: Instant) {
         let count = f64::from(total) - own as f64;
@@ -31,6 +26,16 @@
         self.seen = Some(now);
     }
 
+    /// Whether the newest report is from before `at`.
+    pub fn is_older(&self, at: Instant) -> bool {
+        self.seen.is_none_or(|seen| seen < at)
+    }
+
+    /// When the newest report came.
+    pub fn seen(&self) -> Option<Instant> {
+        self.seen
+    }
+
     /// The expected number of others' calls at `now`; `span` is the time a call takes.
     pub fn estimate(&self, now: Instant, span: Duration) -> f64 {
         let Some(seen) = self.seen else { return 0.0 };
--- a/src/process/peers/handler.rs
+++ b/src/process/peers/handler.rs
@@ -7,11 +7,12 @@
 
 /// Takes a message of a control stream.
 pub fn receive(entry: &Entry, link: &Link, message: Message) {
+    let now = Instant::now();
     match message {
         Message::Drain(addresses) => {
             for address in addresses {
                 // A first sign becomes news, which spreads it to the other peers.
-                entry.fleet.borrow_mut().mark_leaving(address);
+                entry.fleet.borrow_mut().leave(address, now);
             }
         }
         // The session takes the first message itself.
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -30,7 +30,6 @@
 
 use super::entry::Entry;
 use super::settings::Settings;
-use crate::platform::vms::Vm;
 use crate::prelude::*;
 
 /// The result of an exchange with peers.
@@ -59,7 +58,7 @@
     is_stopping: Cell<bool>,
     leaving: RefCell<HashMap<SocketAddr, Instant>>,
     links: RefCell<HashMap<SocketAddr, Rc<Link>>>,
-    members: RefCell<Option<Members>>,
+    pub(super) members: RefCell<Option<Members>>,
     visits: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
@@ -106,13 +105,6 @@
         self.fault.replace(fault);
     }
 
-    /// Takes over the platform's list of VMs.
-    pub fn take_list(&self, list: &[Vm]) {
-        if let Some(members) = &mut *self.members.borrow_mut() {
-            members.list(list);
-        }
-    }
-
     /// Whether the entry is ending its connections.
     pub fn is_stopping(&self) -> bool {
         self.is_stopping.get()
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 
 use super::caller_settings::CallerSettings;
+use super::claims::limits::ClaimSettings;
 use super::peers::settings::PeerSettings;
 use super::shutdown::ShutdownSettings;
 use super::Result;
@@ -34,6 +35,9 @@
     pub peers: Option<PeerSettings>,
     /// How long the platform's log keeps a record, in milliseconds.
     pub retention_ms: u64,
+    /// Bounds of the claims for keyed calls.
+    #[serde(default)]
+    pub claims: ClaimSettings,
     /// Log filter.
     pub log: String,
     /// Bounds on callers.
@@ -58,6 +62,7 @@
             Kind::Integer { min: 500, max: MAX_RETENTION_MS },
             "86400000",
         ),
+        Field::optional("claims", Kind::Object(&CLAIMS)),
         Field::default("log", Kind::Text { max: 256 }, "\"info\""),
         Field::optional("callers", Kind::Object(&CALLERS)),
         Field::optional("peers", Kind::Object(&PEERS)),
@@ -103,6 +108,19 @@
     ],
 };
 
+/// Most bytes of responses that can be kept for duplicates.
+const MAX_RESPONSES: u64 = 1024 * 1024 * 1024;
+/// Most claims that can be kept in memory.
+const MAX_CLAIMS: u64 = 10_000_000;
+
+const CLAIMS: Schema = Schema {
+    fields: &[
+        Field::optional("responseBytes", Kind::Integer { min: 0, max: MAX_RESPONSES }),
+        Field::optional("tableEntries", Kind::Integer { min: 1, max: MAX_CLAIMS }),
+        Field::optional("windowMs", Kind::Integer { min: 1, max: MAX_RETENTION_MS / 2 }),
+    ],
+};
+
 const SHUTDOWN: Schema =
     Schema { fields: &[Field::optional("delayMs", TIME), Field::optional("limitMs", TIME)] };
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,5 +6,6 @@
 pub mod deadline;
 pub mod dispatch;
 pub mod header;
+pub mod keyed;
 pub mod matched;
 pub mod retry;
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -6,6 +6,7 @@
 use cornellink::prelude::*;
 use cornellink::process::entry::Entry;
 use cornellink::process::follower::install;
+use cornellink::process::outcome::Signs;
 use cornellink::process::peers::message::{ClaimQuery, ClaimReply};
 use cornellink::process::runtime::block_on;
 use cornellink::process::target::LoadReport;
@@ -89,14 +90,14 @@
         let all = targets(2);
         entries.iter().for_each(|entry| assert!(install(entry, &revision(1, 7, &all))));
         until("all are connected", || entries.iter().all(|entry| !names(entry).is_empty())).await;
-        entries[0].fleet.borrow_mut().mark_leaving(all[0]);
+        entries[0].fleet.borrow_mut().leave(all[0], Instant::now());
         let is_leaving = |entry: &Rc<Entry>, address| {
             let fleet = entry.fleet.borrow();
-            let key = fleet.target(address).unwrap();
-            fleet.get(key).unwrap().leaving.is_leaving()
+            let key = fleet.target(address).expect("the document has the target");
+            fleet.get(key).expect("the key is current").leaving.is_leaving()
         };
         for entry in &entries {
-            until("the target is leaving", || is_leaving(entry, all[0])).await;
+            until("the leaving target gets no calls", || is_leaving(entry, all[0])).await;
             assert!(!is_leaving(entry, all[1]));
         }
     })
@@ -116,7 +117,11 @@
         let mut running = 0;
         until("the report is everywhere", || {
             running += 1;
-            entries[0].fleet.borrow_mut().news_mut().load(all[1], report(running));
+            let signs = Signs { report: Some(report(running)), ..Signs::default() };
+            let mut fleet = entries[0].fleet.borrow_mut();
+            let key = fleet.target(all[1]).expect("the document has the target");
+            fleet.observe(key, signs, Instant::now());
+            drop(fleet);
             entries[1..].iter().all(|entry| known(entry).is_some())
         })
         .await;
