--- a/src/process/claims/lookup.rs
+++ b/src/process/claims/lookup.rs
@@ -26,6 +26,13 @@
 }
 
 impl Claims {
+    /// The entry that holds the claim of a key, if it is another one.
+    pub fn other_holder(&self, key: &Key) -> Option<Rc<Holder>> {
+        let state = self.state.borrow();
+        let holder = state.table.get(key, unix_millis())?.holder.clone();
+        (*holder != *self.holder).then_some(holder)
+    }
+
     /// What this entry knows of a key that a call with this digest uses.
     pub fn lookup(&self, key: &Key, digest: u64) -> Lookup {
         let state = self.state.borrow();
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -27,8 +27,6 @@
     pub(super) targets: SlotMap<TargetKey, Target>,
     pub(super) services: SlotMap<ServiceId, ServiceState>,
     pub(super) random: SmallRng,
-    /// What peers do not know yet.
-    pub(super) news: News,
     /// Number of the newest call sent.
     pub(super) flight: u64,
     /// Failure domain of the entry.
@@ -41,6 +39,8 @@
     addresses: HashMap<SocketAddr, TargetKey>,
     names: HashMap<String, ServiceId>,
     budgets: HashMap<FlowKey, Budget>,
+    /// What peers do not know yet.
+    pub(super) news: News,
 }
 
 impl Fleet {
@@ -50,7 +50,6 @@
             targets: SlotMap::with_key(),
             services: SlotMap::with_key(),
             random: SmallRng::seed_from_u64(xxhash_rust::xxh3::xxh3_64(name.as_bytes())),
-            news: News::default(),
             flight: 0,
             domain: domain.into(),
             idle: None,
@@ -60,6 +59,7 @@
             addresses: HashMap::new(),
             names: HashMap::new(),
             budgets: HashMap::new(),
+            news: News::default(),
         }
     }
 
@@ -145,6 +145,7 @@
         let listed: HashMap<SocketAddr, bool> =
             vms.iter().map(|vm| (vm.address, vm.leaving)).collect();
         for (_, target) in &mut self.targets {
+            let was_leaving = target.leaving.is_leaving();
             match listed.get(&target.address) {
                 Some(false) => {
                     if target.leaving.list_live(now) {
@@ -157,6 +158,9 @@
                 }
                 None => target.leaving.list_without(now),
             }
+            if !was_leaving && target.leaving.is_leaving() {
+                self.news.leave(target.address);
+            }
         }
         self.assign();
     }
--- a/src/request/holder.rs
+++ b/src/request/holder.rs
@@ -12,28 +12,28 @@
 const MIN_PAUSE: Duration = Duration::from_millis(5);
 const MAX_PAUSE: Duration = Duration::from_millis(100);
 
-/// Asks the holder of a claim for its response until the deadline; `answer` is what the caller is
-/// told if the holder does not have it.
-pub async fn ask(entry: &Entry, request: &Request, answer: Answer) -> Answer {
+/// Longest wait for the holder's reply to one question.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Asks the holder of a claim for its response until the deadline. A holder that does not reply
+/// leaves the caller with what the log tells.
+pub async fn ask(entry: &Entry, request: &Request) -> Answer {
     let query = ClaimQuery { key: request.key, digest: request.digest };
     let mut pause = MIN_PAUSE;
-    loop {
-        let holder = match entry.claims.lookup(&request.key, request.digest) {
-            Lookup::Held(holder) => holder,
-            _ => return entry.claims.ask(&request.key, request.digest, request.deadline).await,
-        };
-        let left = request.deadline.left(Instant::now());
-        match entry.peers.ask_claim(&holder.name, query, left).await {
+    while let Some(holder) = entry.claims.other_holder(&request.key) {
+        let wait = request.deadline.left(Instant::now()).min(ASK_TIMEOUT);
+        match entry.peers.ask_claim(&holder.name, query, wait).await {
             Some(ClaimReply::Done { code, answer }) => return passed_on(code, answer),
             Some(ClaimReply::Running) => {}
-            Some(ClaimReply::Released | ClaimReply::Unknown) | None => return answer,
+            Some(ClaimReply::Released | ClaimReply::Unknown) | None => break,
         }
         if pause >= request.deadline.left(Instant::now()) {
-            return answer;
+            break;
         }
         monoio::time::sleep(pause).await;
         pause = (pause * 2).min(MAX_PAUSE);
     }
+    entry.claims.ask(&request.key, request.digest, request.deadline).await
 }
 
 /// What this entry, as the holder, tells a peer that asks.
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -46,14 +46,15 @@
         Claim::Needed(request) => request,
     };
     match entry.claims.admit(request).await {
-        Admission::Answer(answer) if is_in_use(&answer) => {
-            holder::ask(entry, &request, answer).await
-        }
+        Admission::Answer(answer) if is_incomplete(&answer) => holder::ask(entry, &request).await,
         Admission::Answer(answer) => answer,
         Admission::Run(grant) => grant.finish(run.await),
     }
 }
 
-fn is_in_use(answer: &Answer) -> bool {
-    answer.header(header::CODE) == Some(&Code::RefusedDuplicate.number().to_string())
+/// Whether the holder of the claim may know more.
+fn is_incomplete(answer: &Answer) -> bool {
+    let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
+    let code = code.and_then(Code::from_number);
+    matches!(code, Some(Code::AnsweredBefore | Code::RefusedDuplicate))
 }
--- /dev/null
+++ b/tests/duplicate.rs
@@ -0,0 +1,75 @@
+//! Duplicates of a keyed call at another entry than the first one's.
+
+mod fixture;
+
+use cornellink::connection::client::Client;
+use cornellink::platform::stand_in::hosted::host_targets;
+use cornellink::platform::stand_in::target::SERVICE_TIME;
+use cornellink::prelude::*;
+use cornellink::process::runtime::block_on;
+use cornellink::request::header;
+use fixture::entry_process::EntryProcess;
+use fixture::keys::Keys;
+use fixture::node::free_udp;
+use fixture::served::Published;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+fn booking(key: &str) -> Call {
+    let mut call = Call::new(Method::POST, Uri::from_static("/tickets/9"));
+    call.set(header::WORKSPACE, "north");
+    call.set(header::IDEMPOTENCY_KEY, key);
+    call.set(SERVICE_TIME, "200000");
+    call.body = "nine".into();
+    call
+}
+
+/// Starts two entries that are peers.
+fn start(published: &Published, keys: &Keys) -> [EntryProcess; 2] {
+    let addresses = [free_udp(), free_udp()];
+    ["one", "two"].map(|name| {
+        let own = addresses[usize::from(name == "two")];
+        let peers = keys.settings(name, own, &addresses);
+        let settings = serde_json::json!({ "peers": {
+            "address": own, "authority": peers.authority, "certificate": peers.certificate,
+            "key": peers.key, "static": addresses,
+        }});
+        published.entry(name, settings)
+    })
+}
+
+/// Guards against a second run of a booking that is retried at another entry while the first run
+/// goes on, and against a duplicate that gets another answer than the first call.
+#[test]
+fn duplicate_at_another_entry_gets_the_first_answer() {
+    let (targets, addresses) = host_targets(1, 3, Duration::from_millis(1)).unwrap();
+    let published = Published::new(&addresses);
+    let keys = Keys::new();
+    let entries = start(&published, &keys);
+    let clients = entries.each_ref().map(|entry| Client::new(entry.listen, TIMEOUT));
+    let ask = |client: usize, key: String| {
+        let client = &clients[client];
+        async move { client.call(&booking(&key)).await.unwrap() }
+    };
+
+    let answers = block_on(async {
+        // Entries refuse claims until they know the log; and a duplicate is refused until its
+        // entry has found the holder.
+        for round in 0.. {
+            let key = format!("booking-{round}");
+            let (first, second) = monoio::join!(ask(0, key.clone()), ask(1, key.clone()));
+            if [&first, &second].iter().all(|answer| answer.header(header::CODE) == Some("100")) {
+                return [first, second, ask(0, key.clone()).await, ask(1, key).await];
+            }
+        }
+        unreachable!("the rounds do not end")
+    });
+    let answers = answers.unwrap();
+
+    for answer in &answers {
+        assert_eq!(answer.header(header::CODE), Some("100"));
+        assert_eq!(answer.body, "POST /tickets/9 nine");
+    }
+    let runs = targets.with(|targets| targets[0].runs());
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+}
