Run the routing benchmarks with peers

Cause: the drain benchmark ran entries without keys, so an entry without calls at a draining target learned of its sign only from its own next call. Change: the entries of these benchmarks are peers.

--- a/benches/crest.rs
+++ b/benches/crest.rs
@@ -69,6 +69,7 @@
         workspaces: WORKSPACES.map(|name| (name, 1)).to_vec(),
         classes: json!([{ "name": "lookup", "methods": ["GET"], "prefix": "/",
                           "deadlineMs": 400, "idempotent": true }]),
+        peers: true,
     });
     let ended = cluster.send(&trace);
     Run { trace, ended }
--- a/benches/drain.rs
+++ b/benches/drain.rs
@@ -40,6 +40,7 @@
         workspaces: vec![("north", 1)],
         classes: json!([{ "name": "lookup", "methods": ["GET"], "prefix": "/",
                           "deadlineMs": 1000, "idempotent": true }]),
+        peers: true,
     });
     let (ended, sign) = std::thread::scope(|scope| {
         let signs = scope.spawn(|| {
--- a/benches/fast_failure.rs
+++ b/benches/fast_failure.rs
@@ -45,6 +45,7 @@
         workspaces: vec![("north", 1)],
         classes: json!([{ "name": "lookup", "methods": ["GET"], "prefix": "/",
                           "deadlineMs": 1000, "idempotent": true }]),
+        peers: true,
     });
     cluster.targets.with(|targets| {
         let flapping = Some(Duration::from_secs(1));
--- a/benches/head_of_line.rs
+++ b/benches/head_of_line.rs
@@ -48,6 +48,7 @@
             { "name": "check", "methods": ["GET"], "prefix": "/yard", "deadlineMs": 1000,
               "idempotent": true },
         ]),
+        peers: true,
     });
     let ended = cluster.send(&trace);
     let is_warm = |at: f64| (WARM..SECONDS).contains(&at);
--- a/benches/retries.rs
+++ b/benches/retries.rs
@@ -47,6 +47,7 @@
         workspaces: vec![("north", 1)],
         classes: json!([{ "name": "lookup", "methods": ["GET"], "prefix": "/",
                           "deadlineMs": 1000, "idempotent": true }]),
+        peers: true,
     });
     let ended = std::thread::scope(|scope| {
         scope.spawn(|| {
