--- a/benches/at_most_once.rs
+++ b/benches/at_most_once.rs
@@ -14,7 +14,8 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::faulty::{code, count, document, publish, Cluster};
+use fixture::faulty::{code, count, document, Cluster};
+use fixture::publish::publish;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/benches/log_outage.rs
+++ b/benches/log_outage.rs
@@ -11,7 +11,8 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::faulty::{code, count, document, publish, Cluster};
+use fixture::faulty::{code, count, document, Cluster};
+use fixture::publish::publish;
 use hdrhistogram::Histogram;
 
 const SEED: u64 = 22;
--- a/benches/probe_budget.rs
+++ b/benches/probe_budget.rs
@@ -8,7 +8,8 @@
 use cornellink::platform::stand_in::log::LogFaults;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
-use fixture::faulty::{document, publish, Cluster};
+use fixture::faulty::{document, Cluster};
+use fixture::publish::publish;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -1,4 +1,4 @@
-//! The Hungarian deployment on loopback.
+//! A deployment of an example document on loopback.
 
 use super::Result;
 use crate::connection::client::Client;
@@ -7,18 +7,18 @@
 use crate::platform::stand_in::host::{bind_loopback, Host};
 use crate::platform::stand_in::hosted::{host_platform, host_targets, TargetHost};
 use crate::platform::stand_in::service::PlatformService;
-use crate::platform::stand_in::target::StandInTarget;
+use crate::platform::stand_in::target::{StandInTarget, TargetFaults};
 use crate::prelude::*;
 use crate::process::entry::{self, Entry};
 use crate::process::runtime::block_on;
 use crate::process::settings::Settings;
+use crate::version::document::Document;
 use crate::version::overlay::Overlay;
+use crate::version::parse::parse;
 use crate::version::record::{ConfigRecord, PublishRecord, STREAM};
 
 /// Number of entries.
 const ENTRIES: usize = 3;
-/// Failure domains of the region.
-const DOMAINS: [&str; 3] = ["budapest-a", "budapest-b", "budapest-c"];
 /// Retention of the stand-in log.
 const RETENTION: Duration = Duration::from_secs(3600);
 /// Longest wait for the document to be in force on every entry.
@@ -28,12 +28,9 @@
 /// Longest wait for an operation of the log.
 const LOG_TIMEOUT: Duration = Duration::from_secs(2);
 /// The Hungarian deployment's document.
-const EXAMPLE: &str = include_str!("../../examples/hungary.jsonc");
-/// Services and numbers of targets.
-const SERVICES: [(&str, usize); 3] =
-    [("ticket-desk", 10), ("job-booking", 6), ("stock-deposits", 12)];
-/// Slots of each target.
-const SLOTS: usize = 3;
+pub const HUNGARY: &str = include_str!("../../examples/hungary.jsonc");
+/// The Spanish deployment's document.
+pub const EBRO: &str = include_str!("../../examples/ebro.jsonc");
 /// Service time of each call.
 const SERVICE_TIME: Duration = Duration::from_millis(4);
 
@@ -47,17 +44,19 @@
 }
 
 impl Deployment {
-    /// Starts all parts and publishes the document.
-    pub fn start() -> Result<Self> {
+    /// Starts all parts of an example's document and publishes it with loopback addresses.
+    pub fn start(example: &str) -> Result<Self> {
         let (platform, address) = host_platform(RETENTION)?;
+        let document = parse(example)?;
         let mut targets = Vec::new();
         let mut target_addresses = Vec::new();
-        for (_, count) in SERVICES {
-            let (host, addresses) = host_targets(count, SLOTS, SERVICE_TIME)?;
+        for service in &document.services {
+            let slots = service.slots as usize;
+            let (host, addresses) = host_targets(service.targets.len(), slots, SERVICE_TIME)?;
             targets.push(host);
             target_addresses.push(addresses);
         }
-        publish(address, document(&target_addresses)?)?;
+        publish(address, local(example, &document, &target_addresses)?)?;
         let mut deployment = Self {
             entries: Vec::new(),
             admins: Vec::new(),
@@ -66,12 +65,19 @@
             _platform: platform,
         };
         for index in 0..ENTRIES {
-            deployment.start_entry(index, address)?;
+            let specs = &document.services[0].targets;
+            let domain = specs[index % specs.len()].domain.clone();
+            deployment.start_entry(index, domain, address)?;
         }
         deployment.wait_ready()?;
         Ok(deployment)
     }
 
+    /// Changes the behaviour of a target of a service, by their places in the document.
+    pub fn set_faults(&self, service: usize, target: usize, faults: TargetFaults) {
+        self.targets[service].with(move |targets| targets[target].set_faults(faults));
+    }
+
     /// Number of keys that ran more than once.
     pub fn doubled(&self) -> usize {
         let doubled = |targets: &Vec<Rc<StandInTarget>>| {
@@ -93,7 +99,7 @@
         }
     }
 
-    fn start_entry(&mut self, index: usize, platform: SocketAddr) -> Result<()> {
+    fn start_entry(&mut self, index: usize, domain: String, platform: SocketAddr) -> Result<()> {
         let (sender, receiver) = std::sync::mpsc::channel();
         let host = Host::start(move || async move {
             let (listener, listen) = bind_loopback()?;
@@ -102,7 +108,7 @@
                 name: format!("entry-{index}"),
                 listen,
                 admin,
-                domain: DOMAINS[index % DOMAINS.len()].into(),
+                domain,
                 platform,
                 peers: None,
                 claims: Default::default(),
@@ -159,16 +165,16 @@
 }
 
 /// The example's text with loopback addresses in place of its own.
-fn document(targets: &[Vec<SocketAddr>]) -> Result<String> {
-    let services = SERVICES.iter().zip(targets).map(|((name, _), targets)| {
-        let targets = targets.iter().enumerate().map(|(index, address)| {
-            serde_json::json!({ "address": address, "domain": DOMAINS[index % DOMAINS.len()] })
-        });
-        serde_json::json!({ "name": name, "targets": targets.collect::<Vec<_>>() })
+fn local(example: &str, document: &Document, targets: &[Vec<SocketAddr>]) -> Result<String> {
+    let services = document.services.iter().zip(targets).map(|(service, addresses)| {
+        let targets = service.targets.iter().zip(addresses).map(
+            |(spec, address)| serde_json::json!({ "address": address, "domain": spec.domain }),
+        );
+        serde_json::json!({ "name": service.name, "targets": targets.collect::<Vec<_>>() })
     });
     let overlay = serde_json::json!({
-        "environment": "trial",
+        "environment": document.environment,
         "services": services.collect::<Vec<_>>(),
     });
-    Overlay::parse(&overlay.to_string())?.apply(EXAMPLE)
+    Overlay::parse(&overlay.to_string())?.apply(example)
 }
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -1,10 +1,12 @@
 //! The demo: entries, stand-in targets and a stand-in log in one process on loopback.
 
+pub mod decisions;
 pub mod deployment;
 pub mod table;
 pub mod traffic;
 
 use clap::{Arg, ArgAction, Command};
+use deployment::{Deployment, HUNGARY};
 
 use crate::prelude::*;
 
@@ -14,9 +16,10 @@
 /// Runs the demo.
 pub fn run() -> eyre::Result<()> {
     let matches = command().get_matches();
-    let deployment = deployment::Deployment::start()?;
+    let deployment = Deployment::start(HUNGARY)?;
     let results = traffic::send(&deployment)?;
-    table::print(&results, &deployment, matches.get_flag("json"));
+    let decisions = decisions::read(&deployment.admins)?;
+    table::print(&results, &deployment, &decisions, matches.get_flag("json"));
     if matches.get_flag("serve") {
         deployment.print_addresses();
         loop {
--- a/src/demo/table.rs
+++ b/src/demo/table.rs
@@ -1,10 +1,11 @@
 //! The table at the end of the demo.
 
+use super::decisions::Decisions;
 use super::deployment::Deployment;
 use super::traffic::{Results, Row};
 
 /// Prints the table, and a JSON object after it if asked.
-pub fn print(results: &Results, deployment: &Deployment, json: bool) {
+pub fn print(results: &Results, deployment: &Deployment, decisions: &[Decisions], json: bool) {
     println!(
         "{:<10} {:<8} {:>6} {:>8} {:>7} {:>7} {:>8} {:>8} {:>8}",
         "workspace",
@@ -29,14 +30,22 @@
             millis(row, 0.999)
         );
     }
+    for (index, entry) in decisions.iter().enumerate() {
+        let counts = entry.iter().map(|(what, count)| format!("{what}: {count}"));
+        println!("entry-{index} decided {}", counts.collect::<Vec<_>>().join(", "));
+    }
     println!("wrong or missing answers: {}", results.faults);
     println!("keyed calls that ran twice: {}", deployment.doubled());
     if json {
-        println!("{}", to_json(results, deployment));
+        println!("{}", to_json(results, deployment, decisions));
     }
 }
 
-fn to_json(results: &Results, deployment: &Deployment) -> serde_json::Value {
+fn to_json(
+    results: &Results,
+    deployment: &Deployment,
+    decisions: &[Decisions],
+) -> serde_json::Value {
     let rows = results.rows.iter().map(|((workspace, class), row)| {
         serde_json::json!({
             "workspace": workspace,
@@ -52,6 +61,7 @@
     });
     serde_json::json!({
         "rows": rows.collect::<Vec<_>>(),
+        "decisions": decisions,
         "faults": results.faults,
         "doubled": deployment.doubled(),
     })
--- a/src/load/outcome.rs
+++ b/src/load/outcome.rs
@@ -26,6 +26,9 @@
     /// Most answers that belong to another call; 0 unless stated.
     #[serde(default)]
     pub wrong: u64,
+    /// Most answers that are a target's server error; 0 unless stated.
+    #[serde(default)]
+    pub errors: u64,
     /// Largest latency at p99 in milliseconds, for runs on a quiet machine.
     pub p99_ms: Option<f64>,
 }
@@ -67,6 +70,12 @@
         if report.wrong > self.wrong {
             found.push(format!("`{}` answers were wrong: {:?}", report.wrong, report.examples));
         }
+        if report.errors > self.errors {
+            found.push(format!(
+                "`{}` answers were server errors, at most `{}` may be",
+                report.errors, self.errors
+            ));
+        }
         if self.p99_ms.is_some_and(|most| report.latency.p99_ms > most) {
             found.push(format!("p99 of `{:.2}` ms is too large", report.latency.p99_ms));
         }
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -29,6 +29,8 @@
     pub late: Duration,
     /// Whether the answer belongs to another call or is not whole.
     pub wrong: bool,
+    /// Whether the target answered with a server error.
+    pub error: bool,
 }
 
 /// A point of the latency curve.
@@ -54,6 +56,8 @@
     pub counts: CodeCounts,
     /// Answers that belong to another call or are not whole.
     pub wrong: u64,
+    /// Answered calls whose answer is a target's server error (5xx).
+    pub errors: u64,
     /// Attempts at targets for each call that was sent to one.
     pub amplification: f64,
     pub latency: Spread,
@@ -79,7 +83,7 @@
     pub fn new(trace: &[TraceCall], ended: &[Ended]) -> Self {
         let mut cells: HashMap<(&str, &str), Cell> = HashMap::new();
         let (mut all, mut late) = (histogram(), histogram());
-        let (mut attempts, mut sent, mut wrong) = (0u64, 0u64, 0u64);
+        let (mut attempts, mut sent) = (0u64, 0u64);
         for end in ended {
             let call = &trace[end.index];
             let cell = cells
@@ -87,7 +91,6 @@
                 .or_insert_with(|| Cell { counts: CodeCounts::default(), latency: histogram() });
             cell.counts.add(end.code);
             let _ = late.record(end.late.as_micros() as u64);
-            wrong += u64::from(end.wrong);
             if end.code == Some(Code::Answered) {
                 let _ = cell.latency.record(end.latency.as_micros() as u64);
                 let _ = all.record(end.latency.as_micros() as u64);
@@ -99,7 +102,8 @@
         cells.values().for_each(|cell| counts.merge(&cell.counts));
         Self {
             counts,
-            wrong,
+            wrong: ended.iter().filter(|end| end.wrong).count() as u64,
+            errors: ended.iter().filter(|end| end.error).count() as u64,
             amplification: attempts as f64 / sent.max(1) as f64,
             latency: Spread::of(&all),
             late: Spread::of(&late),
--- a/src/load/send.rs
+++ b/src/load/send.rs
@@ -76,6 +76,8 @@
         latency: due.elapsed(),
         late,
         wrong,
+        error: answer
+            .is_some_and(|answer| code == Some(Code::Answered) && answer.status.is_server_error()),
     });
 }
 
--- a/src/platform/stand_in/target.rs
+++ b/src/platform/stand_in/target.rs
@@ -162,7 +162,10 @@
         if let Some(key) = call.header(header::IDEMPOTENCY_KEY) {
             *self.runs.borrow_mut().entry(key.into()).or_default() += 1;
         }
-        monoio::time::sleep(time).await;
+        // The runtime's timers take at least a millisecond.
+        if !time.is_zero() {
+            monoio::time::sleep(time).await;
+        }
     }
 
     async fn probe(&self) -> Answer {
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -87,6 +87,7 @@
         if let Some(revision) = &revision {
             self.fleet.borrow_mut().apply(&revision.document, Instant::now());
             self.claims.set_entries(revision.document.max_entries);
+            self.metrics.gauge("cornellink_revision", revision.number as f64);
         }
         self.revision.replace(revision);
     }
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -1,5 +1,7 @@
 //! Metrics of an entry.
 
+use std::collections::{HashMap, HashSet};
+
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle, PrometheusRecorder};
 
 use crate::connection::quic::traffic::Traffic;
@@ -11,10 +13,18 @@
     0.5, 1.0, 2.0, 5.0, 10.0, 30.0,
 ];
 
+/// Most pairs of workspace and class with series of their own. A pair has three histograms of 22
+/// series each, and a document may name 10,000 workspaces.
+const MAX_PAIRS: usize = 200;
+/// Label of all further pairs.
+const OTHER: &str = "other";
+
 /// The recorder of one entry; several entries in one process each have their own.
 pub struct Metrics {
     recorder: PrometheusRecorder,
     handle: PrometheusHandle,
+    /// Classes with series of their own, by workspace.
+    pairs: RefCell<HashMap<String, HashSet<String>>>,
 }
 
 impl Default for Metrics {
@@ -23,21 +33,54 @@
         let builder = builder.set_buckets(BUCKETS).expect("the bounds are not empty");
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
-        Self { recorder, handle }
+        Self { recorder, handle, pairs: RefCell::default() }
     }
 }
 
 impl Metrics {
     /// Records an answered call.
     pub fn call(&self, workspace: &str, class: &str, code: Code, whole: Duration) {
-        let labels = [("workspace", workspace.to_owned()), ("class", class.to_owned())];
+        self.span("cornellink_call_seconds", workspace, class, whole);
         metrics::with_local_recorder(&self.recorder, || {
-            metrics::histogram!("cornellink_call_seconds", &labels).record(whole);
             metrics::counter!("cornellink_calls_total", "code" => code.number().to_string())
                 .increment(1);
         });
     }
 
+    /// Records the time that a call waited for a place at a target.
+    pub fn wait(&self, workspace: &str, class: &str, span: Duration) {
+        self.span("cornellink_wait_seconds", workspace, class, span);
+    }
+
+    /// Records the time from a call's first byte to the end of the target's response.
+    pub fn service(&self, workspace: &str, class: &str, span: Duration) {
+        self.span("cornellink_service_seconds", workspace, class, span);
+    }
+
+    fn span(&self, name: &'static str, workspace: &str, class: &str, span: Duration) {
+        let (workspace, class) = match self.has_series(workspace, class) {
+            true => (workspace, class),
+            false => (OTHER, OTHER),
+        };
+        let labels = [("workspace", workspace.to_owned()), ("class", class.to_owned())];
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::histogram!(name, &labels).record(span);
+        });
+    }
+
+    /// Whether a pair has series of its own; the first `MAX_PAIRS` pairs do.
+    fn has_series(&self, workspace: &str, class: &str) -> bool {
+        let mut pairs = self.pairs.borrow_mut();
+        let known = pairs.get(workspace).is_some_and(|classes| classes.contains(class));
+        if known {
+            return true;
+        }
+        if pairs.values().map(HashSet::len).sum::<usize>() >= MAX_PAIRS {
+            return false;
+        }
+        pairs.entry(workspace.to_owned()).or_default().insert(class.to_owned())
+    }
+
     /// Adds to a counter without labels.
     pub fn count(&self, name: &'static str) {
         metrics::with_local_recorder(&self.recorder, || metrics::counter!(name).increment(1));
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -41,7 +41,11 @@
         deadline: matched.deadline,
         avoid: tried.clone(),
     };
-    let grant = match grant::acquire(&entry.fleet, ask).await {
+    let asked = Instant::now();
+    let acquired = grant::acquire(&entry.fleet, ask).await;
+    let (workspace, class) = (&matched.workspace().name, &matched.class().name);
+    entry.metrics.wait(workspace, class, asked.elapsed());
+    let grant = match acquired {
         Ok(grant) => grant,
         Err(code) => return Attempt::NotSent(code),
     };
@@ -73,7 +77,10 @@
         return Attempt::NotSent(Code::NotRunDeadline);
     }
     call.set(header::DEADLINE, &left.as_millis().to_string());
+    let started = Instant::now();
     let result = monoio::time::timeout(left, lease.connection().exchange(call)).await;
+    let (workspace, class) = (&matched.workspace().name, &matched.class().name);
+    entry.metrics.service(workspace, class, started.elapsed());
     let has_sent = lease.connection().has_sent();
     // The connection goes back to its pool before the place at the target is free, so that the
     // next call finds it.
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -2,8 +2,6 @@
 
 mod fixture;
 
-use std::path::PathBuf;
-use std::process::Command;
 use std::time::Duration;
 
 use cornellink::platform::stand_in::hosted::host_platform;
@@ -11,48 +9,13 @@
 use cornellink::prelude::*;
 use cornellink::version::check::limits::MAX_BYTES;
 use fixture::admin::{status, wait_revision};
+use fixture::cli::{publish, run, File};
 use fixture::entry_process::EntryProcess;
 use fixture::free_address;
 use fixture::stream::document;
 
 const RETENTION: Duration = Duration::from_secs(3600);
 
-/// Runs a command; returns its exit code and its output.
-fn run(args: &[&str]) -> (i32, String) {
-    let output = Command::new(env!("CARGO_BIN_EXE_cornellink")).args(args).output().unwrap();
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.code().unwrap(), String::from_utf8(text).unwrap())
-}
-
-/// A file that is removed at the end of the test.
-struct File(PathBuf);
-
-impl File {
-    fn new(name: &str, text: &str) -> Self {
-        // An entry's settings file is named `cornellink-ID-NAME.jsonc`.
-        let name = format!("cornellink-document-{}-{name}", std::process::id());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, text).unwrap();
-        Self(path)
-    }
-
-    fn path(&self) -> &str {
-        self.0.to_str().unwrap()
-    }
-}
-
-impl Drop for File {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_file(&self.0);
-    }
-}
-
-fn publish(platform: SocketAddr, author: &str, replace: &str, file: &File) -> (i32, String) {
-    let platform = platform.to_string();
-    let args = ["publish", "--platform", &platform, "--author", author, "--replace", replace];
-    run(&[&args[..], &[file.path()]].concat())
-}
-
 /// Guards against a command that leaves operators without examples.
 #[test]
 fn every_command_shows_examples() {
--- a/tests/keyless.rs
+++ b/tests/keyless.rs
@@ -6,8 +6,9 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::faulty::{code, document, publish, Cluster};
+use fixture::faulty::{code, document, Cluster};
 use fixture::free_address;
+use fixture::publish::publish;
 
 /// Guards against a second attempt of a booking without a key, even when the first one provably
 /// did not run. A lookup shows that retries would be seen.
--- a/tests/load.rs
+++ b/tests/load.rs
@@ -21,6 +21,7 @@
         latency: Duration::from_millis(5),
         late: Duration::ZERO,
         wrong: false,
+        error: false,
     }
 }
 
