--- a/src/process/claims/admit.rs
+++ b/src/process/claims/admit.rs
@@ -43,7 +43,7 @@
             Lookup::Mismatch => self.refuse(Code::RefusedMismatch),
             Lookup::Running(Some(flight)) => self.wait(&flight, request.deadline).await,
             Lookup::Ended(_) | Lookup::Gone | Lookup::Held(_) | Lookup::Running(None) => {
-                Admission::Answer(self.ask(&request.key, request.digest, request.deadline).await)
+                Admission::Answer(self.answer_duplicate(&request.key, request.digest))
             }
             Lookup::Free => self.claim(request).await,
         }
@@ -93,7 +93,7 @@
             }
             Ok(Ok(Verdict::Lost)) => {
                 self.count("lost");
-                let answer = self.ask(&request.key, request.digest, request.deadline).await;
+                let answer = self.answer_duplicate(&request.key, request.digest);
                 pending.end(&answer);
                 Admission::Answer(answer)
             }
--- a/src/process/claims/ask.rs
+++ b/src/process/claims/duplicate.rs
@@ -7,11 +7,8 @@
 use crate::prelude::*;
 
 impl Claims {
-    /// Responds to a duplicate without running it.
-    ///
-    /// No peer is asked for the complete response yet; the response says what the log tells.
-    /// `Lookup::Held` names the holder to ask.
-    pub async fn ask(&self, key: &Key, digest: u64, _deadline: Deadline) -> Answer {
+    /// Responds to a duplicate without running it, with what the log tells of the first call.
+    pub fn answer_duplicate(&self, key: &Key, digest: u64) -> Answer {
         let (outcome, answer) = match self.lookup(key, digest) {
             Lookup::Ended(outcome) => ("recorded", recorded(outcome)),
             Lookup::Gone => ("unknown", Answer::own(Code::UnknownClaim)),
--- a/src/process/claims/mod.rs
+++ b/src/process/claims/mod.rs
@@ -1,8 +1,8 @@
 //! Keyed calls run at most once: claims through the platform's log (section 7 of the design page).
 
 pub mod admit;
-pub mod ask;
 pub mod bucket;
+pub mod duplicate;
 pub mod flight;
 pub mod grant;
 pub mod health;
--- a/src/request/holder.rs
+++ b/src/request/holder.rs
@@ -33,7 +33,7 @@
         monoio::time::sleep(pause).await;
         pause = (pause * 2).min(MAX_PAUSE);
     }
-    entry.claims.ask(&request.key, request.digest, request.deadline).await
+    entry.claims.answer_duplicate(&request.key, request.digest)
 }
 
 /// What this entry, as the holder, tells a peer that asks.
