--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -9,12 +9,14 @@
 use crate::process::recorder::Recorded;
 
 /// Answers one call.
-pub async fn dispatch(entry: &Entry, call: Call) -> Answer {
+pub async fn dispatch(entry: &Entry, mut call: Call) -> Answer {
     let start = Instant::now();
     let matched = match Matched::find(entry, &call, start) {
         Ok(matched) => matched,
         Err(code) => return Answer::own(code),
     };
+    let id = entry.next_call_id();
+    call.set(header::CALL_ID, &id);
     let recorded = entry.recorder.is_active(start).then(|| call.clone());
     let answer = answer(entry, &matched, call).await;
     if let Some(call) = recorded {
@@ -22,8 +24,13 @@
     }
     let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
     let code = code.and_then(Code::from_number).unwrap_or(Code::Answered);
-    let workspace = &matched.workspace().name;
-    entry.metrics.call(workspace, &matched.class().name, code, start.elapsed());
+    let (workspace, class) = (&matched.workspace().name, &matched.class().name);
+    entry.metrics.call(workspace, class, code, start.elapsed());
+    log::debug!(
+        call = id.as_str(), workspace = workspace.as_str(), class = class.as_str(),
+        code = code.number(), micros = start.elapsed().as_micros() as u64;
+        "call ended"
+    );
     answer
 }
 
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -42,7 +42,6 @@
 
 /// Makes attempts until one answers or no further one is allowed.
 pub async fn run(entry: &Entry, matched: &Matched, mut call: Call) -> Answer {
-    call.set(header::CALL_ID, &entry.next_call_id());
     call.set(header::CLASS, &matched.class().name);
     entry.fleet.borrow_mut().budget(matched.flow).earn(matched.workspace().retry_percent);
     let (mut tried, mut last) = (Vec::new(), Last::new());
