Read and set an answer's result code in one place

Cause: eight places parsed the header cornellink-code of an answer and three wrote it, each with its own chain of calls. Change: Answer::code and Answer::set_code serve all of them; each place keeps its own fallback for an answer without a code. Behaviour is unchanged.

--- a/benches/at_most_once.rs
+++ b/benches/at_most_once.rs
@@ -14,7 +14,7 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::faulty::{code, count, document, Cluster};
+use fixture::faulty::{count, document, Cluster};
 use fixture::publish::publish;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -169,7 +169,7 @@
         call.set(COPY, &copy);
         call.body = Bytes::from(key.to_owned());
         let answer = client.call(&call).await.ok();
-        let answer = answer.and_then(|answer| Some((code(&answer)?, answer)));
+        let answer = answer.and_then(|answer| Some((answer.code()?, answer)));
         let code = results.borrow_mut().record(key, &copy, answer);
         // A caller that lost its entry asks until it knows how the call ended.
         let is_open = number > 0 && code == Some(Code::RefusedDuplicate);
--- a/benches/log_outage.rs
+++ b/benches/log_outage.rs
@@ -11,7 +11,7 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::faulty::{code, count, document, Cluster};
+use fixture::faulty::{count, document, Cluster};
 use fixture::publish::publish;
 use hdrhistogram::Histogram;
 
@@ -118,7 +118,7 @@
         loop {
             let call = build(results, true);
             let answer = cluster.client(entry).call(&call).await.ok();
-            if answer.as_ref().and_then(code) == Some(Code::Answered) {
+            if answer.as_ref().and_then(Answer::code) == Some(Code::Answered) {
                 break;
             }
             monoio::time::sleep(Duration::from_millis(10)).await;
@@ -160,7 +160,7 @@
         monoio::spawn(async move {
             let call = build(&results, is_booking);
             let answer = client.call(&call).await.ok();
-            let code = answer.as_ref().and_then(code).unwrap_or(Code::UnknownConnection);
+            let code = answer.as_ref().and_then(Answer::code).unwrap_or(Code::UnknownConnection);
             let key = (phase, is_booking);
             let elapsed = start.elapsed().as_micros() as u64;
             let mut latency = results.latency.borrow_mut();
--- a/src/demo/traffic.rs
+++ b/src/demo/traffic.rs
@@ -108,8 +108,7 @@
     let row = results.rows.entry(key).or_default();
     row.calls += 1;
     let _ = row.latency.record(elapsed.as_micros() as u64);
-    let code = answer.as_ref().and_then(|answer| answer.header(header::CODE)?.parse().ok());
-    match (code.and_then(Code::from_number), answer) {
+    match (answer.as_ref().and_then(Answer::code), answer) {
         (Some(Code::Answered), Some(answer)) if answer.body == expected => row.answered += 1,
         (Some(code), _) if code.is_not_run() => row.not_run += 1,
         (Some(code), _) if code.is_unknown() => row.unknown += 1,
--- a/src/load/send.rs
+++ b/src/load/send.rs
@@ -62,8 +62,7 @@
     let entry = index % sender.aim.entries.len();
     let exchange = monoio::time::timeout(ANSWER_TIMEOUT, exchange(&sender, entry, &call)).await;
     let answer = exchange.ok().and_then(Result::ok);
-    let code = answer.as_ref().and_then(|answer| answer.header(header::CODE)?.parse().ok());
-    let code = code.and_then(Code::from_number);
+    let code = answer.as_ref().and_then(Answer::code);
     let attempts = answer.as_ref().and_then(|answer| answer.header(header::ATTEMPT)?.parse().ok());
     let wrong = match &answer {
         Some(answer) if code == Some(Code::Answered) => !belongs(&call, answer),
--- a/src/process/claims/grant.rs
+++ b/src/process/claims/grant.rs
@@ -66,8 +66,7 @@
 
     fn end(&mut self, answer: &Answer) {
         let Some(flight) = self.flight.take() else { return };
-        let code = answer.header(crate::request::header::CODE).and_then(|text| text.parse().ok());
-        let code = code.and_then(Code::from_number).unwrap_or(Code::UnknownAnswer);
+        let code = answer.code().unwrap_or(Code::UnknownAnswer);
         self.claims.state.borrow_mut().active.remove(&self.key);
         if code.is_not_run() {
             self.claims.release(self.key, flight.nonce);
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -22,10 +22,20 @@
         let body = serde_json::json!({ "code": code.number(), "text": code.text() }).to_string();
         let mut answer = Self::new(code.status(), body);
         answer.set("content-type", "application/json");
-        answer.set(header::CODE, &code.number().to_string());
+        answer.set_code(code);
         answer
     }
 
+    /// The result code, if the answer carries a known one.
+    pub fn code(&self) -> Option<Code> {
+        Code::from_number(self.header(header::CODE)?.parse().ok()?)
+    }
+
+    /// Sets the result code.
+    pub fn set_code(&mut self, code: Code) {
+        self.set(header::CODE, &code.number().to_string());
+    }
+
     /// A header's value, if it is present and visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -22,8 +22,7 @@
     if let Some(call) = recorded {
         record(entry, &matched, &call, start);
     }
-    let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
-    let code = code.and_then(Code::from_number).unwrap_or(Code::Answered);
+    let code = answer.code().unwrap_or(Code::Answered);
     let (workspace, class) = (&matched.workspace().name, &matched.class().name);
     entry.metrics.call(workspace, class, code, start.elapsed());
     log::debug!(
--- a/src/request/holder.rs
+++ b/src/request/holder.rs
@@ -1,6 +1,5 @@
 //! Duplicates of a call whose first one another entry runs.
 
-use super::header;
 use crate::prelude::*;
 use crate::process::claims::admit::Request;
 use crate::process::claims::lookup::Lookup;
@@ -39,7 +38,7 @@
 /// What this entry, as the holder, tells a peer that asks.
 pub fn reply(claims: &Claims, query: &ClaimQuery) -> ClaimReply {
     match claims.lookup(&query.key, query.digest) {
-        Lookup::Kept(answer) => match code(&answer) {
+        Lookup::Kept(answer) => match answer.code() {
             Some(code) => ClaimReply::Done { code, answer },
             None => ClaimReply::Unknown,
         },
@@ -54,10 +53,6 @@
 }
 
 fn passed_on(code: Code, mut answer: Answer) -> Answer {
-    answer.set(header::CODE, &code.number().to_string());
+    answer.set_code(code);
     answer
 }
-
-fn code(answer: &Answer) -> Option<Code> {
-    Code::from_number(answer.header(header::CODE)?.parse().ok()?)
-}
--- a/src/request/keyed.rs
+++ b/src/request/keyed.rs
@@ -54,7 +54,5 @@
 
 /// Whether the holder of the claim may know more.
 fn is_incomplete(answer: &Answer) -> bool {
-    let code = answer.header(header::CODE).and_then(|text| text.parse().ok());
-    let code = code.and_then(Code::from_number);
-    matches!(code, Some(Code::AnsweredBefore | Code::RefusedDuplicate))
+    matches!(answer.code(), Some(Code::AnsweredBefore | Code::RefusedDuplicate))
 }
--- a/src/request/retry.rs
+++ b/src/request/retry.rs
@@ -51,7 +51,7 @@
         call.set(header::ATTEMPT, &number.to_string());
         match attempt(entry, matched, &mut call, &mut tried).await {
             Attempt::Answered(mut answer) => {
-                answer.set(header::CODE, &Code::Answered.number().to_string());
+                answer.set_code(Code::Answered);
                 answer.set(header::ATTEMPT, &number.to_string());
                 if !matched.class().idempotent || !is_transient(answer.status) {
                     return answer;
--- a/tests/keyless.rs
+++ b/tests/keyless.rs
@@ -6,7 +6,7 @@
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
-use fixture::faulty::{code, document, Cluster};
+use fixture::faulty::{document, Cluster};
 use fixture::free_address;
 use fixture::publish::publish;
 
@@ -24,7 +24,7 @@
         call.set(header::WORKSPACE, "north");
 
         let answer = cluster.client(0).call(&call).await.unwrap();
-        assert_eq!(code(&answer), Some(Code::NotRunConnect));
+        assert_eq!(answer.code(), Some(Code::NotRunConnect));
         let booking = cluster.metrics(0).await;
         let mut call = Call::new(Method::GET, Uri::from_static("/jobs/1"));
         call.set(header::WORKSPACE, "north");
