Rename src/platform to src/edge

Cause: the adapter to the users' platform lives in platform/ at the root, and a folder of the same name with the traits and the stand-ins would be mistaken for it.

--- a/benches/added_latency.rs
+++ b/benches/added_latency.rs
@@ -9,9 +9,9 @@
 
 use cornellink::connection::limits::Limits;
 use cornellink::connection::target::TargetConnection;
+use cornellink::edge::stand_in::hosted::host_targets;
 use cornellink::load::send::{send, Aim};
 use cornellink::load::trace::TraceCall;
-use cornellink::platform::stand_in::hosted::host_targets;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/benches/at_most_once.rs
+++ b/benches/at_most_once.rs
@@ -6,11 +6,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use cornellink::platform::stand_in::host::Host;
-use cornellink::platform::stand_in::hosted::{host_platform, host_targets, TargetHost};
-use cornellink::platform::stand_in::log::{LogFaults, LogLimits};
-use cornellink::platform::stand_in::service::PlatformService;
-use cornellink::platform::stand_in::target::COPY;
+use cornellink::edge::stand_in::host::Host;
+use cornellink::edge::stand_in::hosted::{host_platform, host_targets, TargetHost};
+use cornellink::edge::stand_in::log::{LogFaults, LogLimits};
+use cornellink::edge::stand_in::service::PlatformService;
+use cornellink::edge::stand_in::target::COPY;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/benches/control_cost.rs
+++ b/benches/control_cost.rs
@@ -7,11 +7,11 @@
 use std::fs;
 
 use cornellink::connection::client::Client;
-use cornellink::platform::log::Log;
-use cornellink::platform::stand_in::host::Host;
-use cornellink::platform::stand_in::hosted::{host_platform, host_targets};
-use cornellink::platform::stand_in::service::PlatformService;
-use cornellink::platform::vms::{Vm, VmRole};
+use cornellink::edge::log::Log;
+use cornellink::edge::stand_in::host::Host;
+use cornellink::edge::stand_in::hosted::{host_platform, host_targets};
+use cornellink::edge::stand_in::service::PlatformService;
+use cornellink::edge::vms::{Vm, VmRole};
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/benches/drain.rs
+++ b/benches/drain.rs
@@ -6,7 +6,7 @@
 
 use std::time::{Duration, Instant};
 
-use cornellink::platform::stand_in::target::TargetFaults;
+use cornellink::edge::stand_in::target::TargetFaults;
 use fixture::arrivals::{trace, Figures, Stream};
 use fixture::cluster::{Cluster, Plan};
 use rand::rngs::SmallRng;
--- a/benches/hostile.rs
+++ b/benches/hostile.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use cornellink::platform::stand_in::hosted::host_targets;
+use cornellink::edge::stand_in::hosted::host_targets;
 use fixture::hostile::{cases, Case};
 use fixture::served::Published;
 
--- a/benches/log_outage.rs
+++ b/benches/log_outage.rs
@@ -6,8 +6,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use cornellink::platform::stand_in::hosted::{host_platform, host_targets};
-use cornellink::platform::stand_in::log::LogFaults;
+use cornellink::edge::stand_in::hosted::{host_platform, host_targets};
+use cornellink::edge::stand_in::log::LogFaults;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/benches/probe_budget.rs
+++ b/benches/probe_budget.rs
@@ -4,8 +4,8 @@
 #[path = "../tests/fixture/mod.rs"]
 mod fixture;
 
-use cornellink::platform::stand_in::hosted::{host_platforms, host_targets, TargetHost};
-use cornellink::platform::stand_in::log::LogFaults;
+use cornellink::edge::stand_in::hosted::{host_platforms, host_targets, TargetHost};
+use cornellink::edge::stand_in::log::LogFaults;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use fixture::faulty::{document, Cluster};
--- a/benches/shutdown.rs
+++ b/benches/shutdown.rs
@@ -11,7 +11,7 @@
 use cornellink::connection::client::Client;
 use cornellink::connection::limits::Limits;
 use cornellink::connection::target::TargetConnection;
-use cornellink::platform::stand_in::hosted::host_targets;
+use cornellink::edge::stand_in::hosted::host_targets;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/src/command/timeline.rs
+++ b/src/command/timeline.rs
@@ -6,8 +6,8 @@
 
 use super::Result;
 use crate::connection::client::Client;
-use crate::platform::http_log::HttpLog;
-use crate::platform::log::{Log, Record};
+use crate::edge::http_log::HttpLog;
+use crate::edge::log::{Log, Record};
 use crate::prelude::*;
 use crate::version::history::History;
 use crate::version::record::{ConfigRecord, RenewRecord, STREAM};
--- a/src/demo/deployment.rs
+++ b/src/demo/deployment.rs
@@ -2,12 +2,12 @@
 
 use super::Result;
 use crate::connection::client::Client;
-use crate::platform::http_log::HttpLog;
-use crate::platform::log::Log;
-use crate::platform::stand_in::host::{bind_loopback, Host};
-use crate::platform::stand_in::hosted::{host_platform, host_targets, TargetHost};
-use crate::platform::stand_in::service::PlatformService;
-use crate::platform::stand_in::target::{StandInTarget, TargetFaults};
+use crate::edge::http_log::HttpLog;
+use crate::edge::log::Log;
+use crate::edge::stand_in::host::{bind_loopback, Host};
+use crate::edge::stand_in::hosted::{host_platform, host_targets, TargetHost};
+use crate::edge::stand_in::service::PlatformService;
+use crate::edge::stand_in::target::{StandInTarget, TargetFaults};
 use crate::prelude::*;
 use crate::process::entry::{self, Entry};
 use crate::process::runtime::block_on;
--- a/src/platform/stand_in/host.rs
+++ b/src/edge/stand_in/host.rs
@@ -7,8 +7,8 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use crate::edge::Result;
 use crate::error::Error;
-use crate::platform::Result;
 use crate::process::runtime::block_on;
 
 /// Time between two looks for work from other threads.
--- a/src/platform/stand_in/hosted.rs
+++ b/src/edge/stand_in/hosted.rs
@@ -5,7 +5,7 @@
 use super::service::PlatformService;
 use super::target::StandInTarget;
 use crate::connection::server;
-use crate::platform::Result;
+use crate::edge::Result;
 use crate::prelude::*;
 
 /// Targets on a thread of their own.
--- a/src/platform/stand_in/log.rs
+++ b/src/edge/stand_in/log.rs
@@ -5,8 +5,8 @@
 
 use local_sync::oneshot;
 
-use crate::platform::log::{Log, Page, Record};
-use crate::platform::Pending;
+use crate::edge::log::{Log, Page, Record};
+use crate::edge::Pending;
 use crate::prelude::*;
 
 /// Most records in one page.
--- a/src/platform/stand_in/service.rs
+++ b/src/edge/stand_in/service.rs
@@ -3,9 +3,9 @@
 use std::collections::HashMap;
 
 use super::log::MemoryLog;
-use crate::platform::log::Log;
-use crate::platform::vms::Vm;
-use crate::platform::wire::{self, AppendRequest, AppendResponse, ReadResponse, VmEntry};
+use crate::edge::log::Log;
+use crate::edge::vms::Vm;
+use crate::edge::wire::{self, AppendRequest, AppendResponse, ReadResponse, VmEntry};
 use crate::prelude::*;
 
 /// The log and the list of VMs behind one address.
--- a/src/load/send.rs
+++ b/src/load/send.rs
@@ -7,7 +7,7 @@
 use super::Result;
 use crate::connection::limits::Limits;
 use crate::connection::target::TargetConnection;
-use crate::platform::stand_in::target::SERVICE_TIME;
+use crate::edge::stand_in::target::SERVICE_TIME;
 use crate::prelude::*;
 use crate::request::header;
 
--- a/src/process/claims/table.rs
+++ b/src/process/claims/table.rs
@@ -4,7 +4,7 @@
 
 use super::key::Key;
 use super::record::{ClaimRecord, Holder, Mark, NewClaim, Outcome};
-use crate::platform::log::{Page, Record};
+use crate::edge::log::{Page, Record};
 use crate::prelude::*;
 
 /// Most names of entries whose newest process is remembered.
--- a/src/process/claims/tasks.rs
+++ b/src/process/claims/tasks.rs
@@ -2,8 +2,8 @@
 
 use super::record::STREAM;
 use super::{unix_millis, Claims, CLAIM_LIMIT};
-use crate::platform::log::{Log, Page};
-use crate::platform::{Pending, Result};
+use crate::edge::log::{Log, Page};
+use crate::edge::{Pending, Result};
 use crate::prelude::*;
 
 /// Longest wait of one read.
--- a/src/process/configuration.rs
+++ b/src/process/configuration.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use crate::platform::log::{Page, Record};
+use crate::edge::log::{Page, Record};
 use crate::prelude::*;
 use crate::version::history::History;
 use crate::version::record::{ConfigRecord, RenewRecord};
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -17,7 +17,7 @@
 use super::service::{ServiceId, ServiceState};
 use super::share::{long_slots, Place};
 use super::target::{LoadReport, Target, TargetKey};
-use crate::platform::vms::{Vm, VmRole};
+use crate::edge::vms::{Vm, VmRole};
 use crate::prelude::*;
 use crate::version::document::Document;
 use crate::version::service::Service;
--- a/src/process/follower.rs
+++ b/src/process/follower.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::entry::Entry;
-use crate::platform::log::Log;
+use crate::edge::log::Log;
 use crate::prelude::*;
 use crate::version::record::{ConfigRecord, RenewRecord, STREAM};
 
--- a/src/process/peers/members.rs
+++ b/src/process/peers/members.rs
@@ -5,7 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::message::MemberHint;
-use crate::platform::vms::{Vm, VmRole};
+use crate::edge::vms::{Vm, VmRole};
 use crate::prelude::*;
 
 /// Most peers of the own failure domain that an entry connects to.
--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -30,7 +30,7 @@
 
 use super::entry::Entry;
 use super::settings::Settings;
-use crate::platform::vms::Vm;
+use crate::edge::vms::Vm;
 use crate::prelude::*;
 
 /// The result of an exchange with peers.
--- a/src/process/probes/leases.rs
+++ b/src/process/probes/leases.rs
@@ -3,7 +3,7 @@
 use super::lease::Lease;
 use super::record::{LeaseRecord, STREAM};
 use super::Probes;
-use crate::platform::log::{Log, Page};
+use crate::edge::log::{Log, Page};
 use crate::prelude::*;
 use crate::process::entry::Entry;
 use crate::version::document::Document;
--- a/src/process/probes/mod.rs
+++ b/src/process/probes/mod.rs
@@ -15,7 +15,7 @@
 
 use super::claims::record::Holder;
 use super::entry::Entry;
-use crate::platform::log::Log;
+use crate::edge::log::Log;
 use crate::prelude::*;
 
 /// The leases and probes of one entry, shared by its tasks.
--- a/src/process/watch.rs
+++ b/src/process/watch.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 
 use super::entry::Entry;
-use crate::platform::vms::{Vm, Vms};
+use crate::edge::vms::{Vm, Vms};
 use crate::prelude::*;
 
 /// Time between two reads by an entry without peers in its failure domain. With the most readers
--- a/src/version/history.rs
+++ b/src/version/history.rs
@@ -7,7 +7,7 @@
 use super::revision::Revision;
 use super::run::Run;
 use super::verdict::Verdict;
-use crate::platform::log::Record;
+use crate::edge::log::Record;
 use crate::prelude::*;
 
 /// Most records whose times are kept to judge renewals.
--- a/tests/claim_faults.rs
+++ b/tests/claim_faults.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use cornellink::platform::stand_in::log::{LogFaults, LogLimits};
+use cornellink::edge::stand_in::log::{LogFaults, LogLimits};
 use cornellink::prelude::*;
 use cornellink::process::claims::admit::Request;
 use cornellink::process::claims::record::ClaimRecord;
--- a/tests/claim_order.rs
+++ b/tests/claim_order.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
-use cornellink::platform::log::{Page, Record};
+use cornellink::edge::log::{Page, Record};
 use cornellink::prelude::*;
 use cornellink::process::claims::key::Key;
 use cornellink::process::claims::record::{ClaimRecord, Holder, NewClaim};
--- a/tests/claim_start.rs
+++ b/tests/claim_start.rs
@@ -2,8 +2,8 @@
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use cornellink::platform::log::{Log, Page, Record};
-use cornellink::platform::Pending;
+use cornellink::edge::log::{Log, Page, Record};
+use cornellink::edge::Pending;
 use cornellink::prelude::*;
 use cornellink::process::claims::key::Key;
 use cornellink::process::claims::limits::{ClaimLimits, ClaimSettings};
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use cornellink::platform::stand_in::hosted::host_platform;
-use cornellink::platform::stand_in::log::LogFaults;
+use cornellink::edge::stand_in::hosted::host_platform;
+use cornellink::edge::stand_in::log::LogFaults;
 use cornellink::prelude::*;
 use cornellink::version::check::limits::MAX_BYTES;
 use fixture::admin::{status, wait_revision};
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use cornellink::platform::http_log::HttpLog;
-use cornellink::platform::log::Log;
-use cornellink::platform::stand_in::hosted::host_platform;
-use cornellink::platform::stand_in::log::LogFaults;
+use cornellink::edge::http_log::HttpLog;
+use cornellink::edge::log::Log;
+use cornellink::edge::stand_in::hosted::host_platform;
+use cornellink::edge::stand_in::log::LogFaults;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::version::record::{ConfigRecord, PublishRecord, STREAM};
--- a/tests/duplicate.rs
+++ b/tests/duplicate.rs
@@ -3,8 +3,8 @@
 mod fixture;
 
 use cornellink::connection::client::Client;
-use cornellink::platform::stand_in::hosted::host_targets;
-use cornellink::platform::stand_in::target::SERVICE_TIME;
+use cornellink::edge::stand_in::hosted::host_targets;
+use cornellink::edge::stand_in::target::SERVICE_TIME;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/tests/history.rs
+++ b/tests/history.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use cornellink::platform::log::Record;
+use cornellink::edge::log::Record;
 use cornellink::version::history::History;
 use cornellink::version::record::{ConfigRecord, PublishRecord, RenewRecord};
 use cornellink::version::verdict::Verdict;
--- a/tests/keyless.rs
+++ b/tests/keyless.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use cornellink::platform::stand_in::hosted::host_platform;
+use cornellink::edge::stand_in::hosted::host_platform;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use cornellink::connection::client::Client;
-use cornellink::platform::stand_in::hosted::host_targets;
+use cornellink::edge::stand_in::hosted::host_targets;
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
--- a/tests/peer_document.rs
+++ b/tests/peer_document.rs
@@ -3,11 +3,11 @@
 mod fixture;
 
 use cornellink::connection::client::Client;
-use cornellink::platform::log::Log;
-use cornellink::platform::stand_in::host::Host;
-use cornellink::platform::stand_in::hosted::{host_platform, host_targets};
-use cornellink::platform::stand_in::log::{LogFaults, MemoryLog};
-use cornellink::platform::stand_in::service::PlatformService;
+use cornellink::edge::log::Log;
+use cornellink::edge::stand_in::host::Host;
+use cornellink::edge::stand_in::hosted::{host_platform, host_targets};
+use cornellink::edge::stand_in::log::{LogFaults, MemoryLog};
+use cornellink::edge::stand_in::service::PlatformService;
 use cornellink::prelude::*;
 use cornellink::process::follower;
 use cornellink::process::peers::settings::PeerSettings;
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -2,7 +2,7 @@
 
 mod fixture;
 
-use cornellink::platform::vms::{Vm, VmRole};
+use cornellink::edge::vms::{Vm, VmRole};
 use cornellink::prelude::*;
 use cornellink::process::claims::key::Key;
 use cornellink::process::entry::Entry;
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use cornellink::platform::stand_in::hosted::host_targets;
+use cornellink::edge::stand_in::hosted::host_targets;
 use cornellink::prelude::*;
 use cornellink::process::pool::Pool;
 use cornellink::process::runtime::block_on;
--- a/tests/probes.rs
+++ b/tests/probes.rs
@@ -1,8 +1,8 @@
 //! Leases and probes of whole entries over a log in memory.
 
-use cornellink::platform::log::{Log, Record};
-use cornellink::platform::stand_in::hosted::host_targets;
-use cornellink::platform::stand_in::log::MemoryLog;
+use cornellink::edge::log::{Log, Record};
+use cornellink::edge::stand_in::hosted::host_targets;
+use cornellink::edge::stand_in::log::MemoryLog;
 use cornellink::prelude::*;
 use cornellink::process::entry::Entry;
 use cornellink::process::probes;
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use cornellink::demo::deployment::{Deployment, EBRO, HUNGARY};
+use cornellink::edge::stand_in::target::TargetFaults;
 use cornellink::load::outcome::Outcome;
 use cornellink::load::report::Report;
 use cornellink::load::send::{send, Aim};
 use cornellink::load::trace;
-use cornellink::platform::stand_in::target::TargetFaults;
 use cornellink::process::runtime::block_on;
 
 fn path(name: &str) -> String {
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use cornellink::platform::vms::{Vm, VmRole};
+use cornellink::edge::vms::{Vm, VmRole};
 use cornellink::prelude::*;
 use cornellink::process::durations::{Durations, ShapeKey};
 use cornellink::process::grant::acquire;
--- a/tests/sessions.rs
+++ b/tests/sessions.rs
@@ -2,8 +2,8 @@
 
 mod fixture;
 
-use cornellink::platform::stand_in::hosted::host_platform;
-use cornellink::platform::stand_in::log::LogFaults;
+use cornellink::edge::stand_in::hosted::host_platform;
+use cornellink::edge::stand_in::log::LogFaults;
 use cornellink::prelude::*;
 use fixture::admin::wait_revision;
 use fixture::cli::{run, File};
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use cornellink::connection::client::Client;
-use cornellink::platform::stand_in::hosted::{host_targets, TargetHost};
+use cornellink::edge::stand_in::hosted::{host_targets, TargetHost};
 use cornellink::prelude::*;
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
