Serve routes and targets of a directory, and adapt it to the users' platform

Cause: the product routed by its own documents alone; the users' platform announces routes and targets in its store.

--- a/src/connection/guard.rs
+++ b/src/connection/guard.rs
@@ -138,23 +138,49 @@
         while !bytes.is_empty() {
             // Waiting for room hands nothing to the kernel, so a cancellation here is still clean.
             self.io.writable(true).await?;
-            let sent_before = self.sent;
-            self.sent = true;
-            let (result, rest) = self.io.write(bytes).await;
-            bytes = rest;
-            match result {
-                Ok(0) => return Err(std::io::ErrorKind::WriteZero.into()),
-                Ok(count) => drop(bytes.split_to(count)),
-                Err(error) => {
-                    // A failed write(2) took none of its bytes.
-                    self.sent = sent_before;
-                    return Err(error);
-                }
-            }
+            bytes = self.write_some(bytes).await?;
         }
         Ok(())
     }
 
+    /// Writes all of `bytes`, unless the peer sends something before all of it is written.
+    ///
+    /// A server may reject a long body before it has read all of it. It then stops reading, so
+    /// that a plain write would never end. Returns whether all bytes were written.
+    pub async fn write_until_read(&mut self, mut bytes: Bytes) -> std::io::Result<bool> {
+        while !bytes.is_empty() {
+            let is_writable = monoio::select! {
+                biased;
+                ready = self.io.writable(true) => ready.map(|()| true),
+                ready = self.io.readable(true) => ready.map(|()| false),
+            };
+            if !is_writable? {
+                return Ok(false);
+            }
+            bytes = self.write_some(bytes).await?;
+        }
+        Ok(true)
+    }
+
+    /// Hands bytes to the kernel once it has room, and returns those that it did not take.
+    async fn write_some(&mut self, bytes: Bytes) -> std::io::Result<Bytes> {
+        let sent_before = self.sent;
+        self.sent = true;
+        let (result, mut rest) = self.io.write(bytes).await;
+        match result {
+            Ok(0) => Err(std::io::ErrorKind::WriteZero.into()),
+            Ok(count) => {
+                drop(rest.split_to(count));
+                Ok(rest)
+            }
+            Err(error) => {
+                // A failed write(2) took none of its bytes.
+                self.sent = sent_before;
+                Err(error)
+            }
+        }
+    }
+
     /// Ends the sending direction.
     pub async fn end_writes(&mut self) {
         let _ = self.io.shutdown().await;
--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -13,6 +13,10 @@
 
 /// Most interim responses (1xx) before the final one.
 const MAX_INTERIM: usize = 16;
+/// Most responses to earlier calls that are skipped before the awaited one.
+const MAX_STALE: usize = 4;
+/// Idle time that is left unused before the server closes the connection by its own timeout.
+const IDLE_MARGIN: Duration = Duration::from_millis(1500);
 /// Status of a response after which the connection no longer carries HTTP.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -22,6 +26,8 @@
     guard: Guard,
     limits: Limits,
     reusable: bool,
+    /// When the server may close the connection, if it has said so.
+    expires: Option<Instant>,
 }
 
 impl TargetConnection {
@@ -35,7 +41,7 @@
                 return Err(Error::Connect { address, source });
             }
         };
-        Ok(Self { address, guard: Guard::new(stream), limits, reusable: true })
+        Ok(Self { address, guard: Guard::new(stream), limits, reusable: true, expires: None })
     }
 
     /// Sends a call and reads its whole answer.
@@ -43,13 +49,22 @@
     /// The connection is not reusable while an exchange is under way, so a cancelled exchange
     /// leaves it closed; `has_sent` then tells whether the call may have left.
     pub async fn exchange(&mut self, call: &Call) -> std::result::Result<Answer, Lost> {
+        self.exchange_own(call, |_| true).await
+    }
+
+    /// Like `exchange`, but skips responses that `is_own` tells to belong to earlier calls.
+    pub async fn exchange_own(
+        &mut self,
+        call: &Call,
+        is_own: impl Fn(&Answer) -> bool,
+    ) -> std::result::Result<Answer, Lost> {
         let was_reusable = std::mem::replace(&mut self.reusable, false);
         self.guard.reset_sent();
         if !was_reusable || !self.guard.is_quiet() {
             // Bytes that precede the request belong to no call, and an end means no response.
             return Err(Lost { fault: Fault::Closed, sent: false });
         }
-        let result = self.run(call).await;
+        let result = self.run(call, is_own).await;
         result.map_err(|fault| Lost { fault, sent: self.guard.has_sent() })
     }
 
@@ -60,7 +75,8 @@
 
     /// Whether the connection is idle and the other side has not closed it.
     pub fn is_open(&self) -> bool {
-        self.reusable && self.guard.is_quiet()
+        let expired = self.expires.is_some_and(|expires| Instant::now() >= expires);
+        self.reusable && !expired && self.guard.is_quiet()
     }
 
     /// Whether the connection can carry another call.
@@ -68,19 +84,43 @@
         self.reusable
     }
 
-    async fn run(&mut self, call: &Call) -> std::result::Result<Answer, Fault> {
+    async fn run(
+        &mut self,
+        call: &Call,
+        is_own: impl Fn(&Answer) -> bool,
+    ) -> std::result::Result<Answer, Fault> {
+        let is_whole = self.write(call).await?;
+        for _ in 0..=MAX_STALE {
+            let (head, framing) = self.final_head(&call.method).await?;
+            let head = decode_answer(head)?;
+            let mut answer = head.answer;
+            answer.body = self.guard.body(framing.framing, &self.limits).await?;
+            let is_open =
+                framing.framing != Framing::UntilClose && !framing.doubtful && !head.close;
+            if is_own(&answer) {
+                self.expires = expiry(&answer.headers);
+                self.reusable = is_open && is_whole && self.guard.unread() == 0;
+                return Ok(answer);
+            }
+            if !is_open {
+                return Err(Fault::Closed);
+            }
+        }
+        Err(Fault::Framing)
+    }
+
+    /// Writes a call; returns false if the response began before the whole call was written, and
+    /// no further byte is written then.
+    async fn write(&mut self, call: &Call) -> std::result::Result<bool, Fault> {
         let (head, body) = encode_call(call, self.address);
-        self.guard.write(head).await.map_err(|_| Fault::Closed)?;
-        self.guard.write(body).await.map_err(|_| Fault::Closed)?;
-        let (head, framing) = self.final_head(&call.method).await?;
-        let head = decode_answer(head)?;
-        let mut answer = head.answer;
-        answer.body = self.guard.body(framing.framing, &self.limits).await?;
-        self.reusable = framing.framing != Framing::UntilClose
-            && !framing.doubtful
-            && !head.close
-            && self.guard.unread() == 0;
-        Ok(answer)
+        for part in [head, body] {
+            match self.guard.write_until_read(part).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(false),
+                Err(_) => return Err(Fault::Closed),
+            }
+        }
+        Ok(true)
     }
 
     async fn final_head(
@@ -102,3 +142,12 @@
         Err(Fault::Framing)
     }
 }
+
+/// The end of the idle time that a `keep-alive` header states.
+fn expiry(headers: &HeaderMap) -> Option<Instant> {
+    let value = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = value.split(',').filter_map(|part| part.split_once('='));
+    let (_, seconds) = parts.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
+    let idle = Duration::from_secs(seconds.trim().parse().ok()?);
+    Some(Instant::now() + idle.saturating_sub(IDLE_MARGIN))
+}
--- /dev/null
+++ b/src/edge/directory.rs
@@ -0,0 +1,77 @@
+//! The platform's directory: the routes and the registered targets, as streams of changes.
+
+use super::Pending;
+use crate::prelude::*;
+use crate::version::registration::Registration;
+use crate::version::route_table::RouteTable;
+
+/// What a stream of changes is about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Feed {
+    Routes,
+    Targets,
+}
+
+impl Feed {
+    /// Longest wait of one read. Targets report all the time, so a read of theirs hardly waits,
+    /// and one that does tells of a lost connection soon.
+    pub fn longest_wait(self) -> Duration {
+        match self {
+            Self::Routes => Duration::from_millis(2000),
+            Self::Targets => Duration::from_millis(300),
+        }
+    }
+
+    /// The feed's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Routes => "routes",
+            Self::Targets => "targets",
+        }
+    }
+}
+
+/// What a change says.
+#[derive(Clone, Debug)]
+pub enum News {
+    Routes(Rc<RouteTable>),
+    Target(Registration),
+    /// The entry was removed.
+    Removed,
+    /// The entry cannot be used, for the given reason.
+    Unusable(String),
+}
+
+/// One change of an entry.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// Place of the change in the stream.
+    pub offset: u64,
+    /// Name of the entry.
+    pub key: Rc<str>,
+    pub news: News,
+}
+
+/// Changes and the offset from which to read on.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    pub changes: Vec<Change>,
+    pub next: u64,
+}
+
+/// What a read returns.
+#[derive(Clone, Debug)]
+pub enum Read {
+    Batch(Batch),
+    /// Changes after the asked offset are no longer kept.
+    Gap,
+}
+
+/// The directory service.
+pub trait Directory {
+    /// The newest change of each entry.
+    fn snapshot(&self, feed: Feed) -> Pending<'_, Batch>;
+
+    /// Changes from `from` on, waiting up to `wait` for the first one.
+    fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Pending<'_, Read>;
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,5 +1,6 @@
 //! The edge towards the platform: its log and its list of VMs.
 
+pub mod directory;
 pub mod http_log;
 pub mod http_vms;
 pub mod log;
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -1,8 +1,12 @@
 //! Connections from callers, one task for each.
 
+use std::future::Future;
+use std::pin::Pin;
+
 use monoio::net::{TcpListener, TcpStream};
 
 use super::entry::Entry;
+use super::shutdown::Shutdown;
 use crate::connection::caller::CallerConnection;
 use crate::connection::fault::Fault;
 use crate::connection::forward::clean_call;
@@ -19,42 +23,64 @@
 /// Time without a new connection after which the listener's queue counts as empty.
 const QUEUE_TIME: Duration = Duration::from_millis(5);
 
+/// Answers one call.
+pub type Handler = Rc<dyn Fn(Call) -> Pin<Box<dyn Future<Output = Answer>>>>;
+
 /// The listener for callers and its connections.
 pub struct Callers {
-    entry: Rc<Entry>,
-    limits: Limits,
-    listener: TcpListener,
-    memory: Rc<Memory>,
-    open: Rc<Cell<usize>>,
-    tasks: Tasks,
+    pub listener: TcpListener,
+    /// Bounds of connections that are accepted from now on.
+    pub limits: Rc<Cell<Limits>>,
+    pub memory: Rc<Memory>,
+    pub max_connections: usize,
+    /// Time from the request of a shutdown to the end of the listener.
+    pub delay: Duration,
+    /// Time from the request of a shutdown to the cut of the calls that are still in flight.
+    pub limit: Duration,
+    pub shutdown: Rc<Shutdown>,
+    pub handler: Handler,
+    pub open: Rc<Cell<usize>>,
+    pub tasks: Tasks,
 }
 
 impl Callers {
-    /// Creates the state for a bound listener.
+    /// Creates the state for a bound listener of an entry.
     pub fn new(entry: Rc<Entry>, listener: TcpListener) -> Self {
-        let limits = Limits::from(&entry.settings.callers);
-        let memory = Rc::new(Memory::new(entry.settings.callers.memory_limit));
-        Self { entry, limits, listener, memory, open: Rc::default(), tasks: Tasks::default() }
+        let (settings, times) = (&entry.settings.callers, &entry.settings.shutdown);
+        let state = entry.clone();
+        Self {
+            listener,
+            limits: Rc::new(Cell::new(Limits::from(settings))),
+            memory: Rc::new(Memory::new(settings.memory_limit)),
+            max_connections: settings.max_connections,
+            delay: Duration::from_millis(times.delay_ms),
+            limit: Duration::from_millis(times.limit_ms),
+            shutdown: entry.shutdown.clone(),
+            handler: Rc::new(move |call| {
+                let entry = state.clone();
+                Box::pin(async move { dispatch::dispatch(&entry, call).await })
+            }),
+            open: Rc::default(),
+            tasks: Tasks::default(),
+        }
     }
 
     /// Serves until a requested shutdown is complete.
     pub async fn serve(self) {
         monoio::select! {
             () = self.accept() => {}
-            () = self.entry.shutdown.requested() => {}
+            () = self.shutdown.requested() => {}
         }
-        let settings = &self.entry.settings.shutdown;
-        let end = Instant::now() + Duration::from_millis(settings.limit_ms);
+        let end = Instant::now() + self.limit;
         log::info!("not ready: shutting down");
-        let delay = Duration::from_millis(settings.delay_ms);
-        let _ = monoio::time::timeout(delay, self.accept()).await;
+        let _ = monoio::time::timeout(self.delay, self.accept()).await;
         self.empty_queue(end).await;
-        let Self { entry, listener, tasks, .. } = self;
+        let Self { listener, shutdown, tasks, .. } = self;
         drop(listener);
-        entry.shutdown.close_idle();
+        shutdown.close_idle();
         let left = end.saturating_duration_since(Instant::now());
         if monoio::time::timeout(left, tasks.join()).await.is_err() {
-            log::warn!(cut = entry.shutdown.inflight(); "calls were cut by the shutdown");
+            log::warn!(cut = shutdown.inflight(); "calls were cut by the shutdown");
             tasks.stop();
             tasks.join().await;
         }
@@ -85,21 +111,21 @@
     }
 
     fn start(&self, stream: TcpStream) {
-        let limit = self.entry.settings.callers.max_connections;
+        let limit = self.max_connections;
         let count = self.open.get();
         if count >= limit + REFUSAL_ROOM {
             return;
         }
         let place = Place::new(self.open.clone());
-        let connection = CallerConnection::new(stream, self.limits);
+        let connection = CallerConnection::new(stream, self.limits.get());
         let connection = connection.count_in(self.memory.clone());
-        let entry = self.entry.clone();
+        let (shutdown, handler) = (self.shutdown.clone(), self.handler.clone());
         self.tasks.spawn(async move {
             let _place = place;
             if count >= limit {
                 refuse(connection, Code::NotReadyConnections).await;
             } else {
-                serve_caller(&entry, connection).await;
+                serve_caller(&shutdown, &handler, connection).await;
             }
         });
     }
@@ -123,9 +149,9 @@
     }
 }
 
-async fn serve_caller(entry: &Entry, mut connection: CallerConnection) {
-    while wait_for_call(entry, &mut connection).await {
-        let _inflight = entry.shutdown.call();
+async fn serve_caller(shutdown: &Shutdown, handler: &Handler, mut connection: CallerConnection) {
+    while wait_for_call(shutdown, &mut connection).await {
+        let _inflight = shutdown.call();
         let call = match read_call(&mut connection).await {
             Ok(call) => call,
             Err(fault) => match fault_code(fault) {
@@ -135,11 +161,11 @@
         };
         let answer = monoio::select! {
             biased;
-            answer = dispatch::dispatch(entry, call) => answer,
+            answer = handler(call) => answer,
             // Dropping the dispatch closes the connection to the target.
             () = connection.closed() => return,
         };
-        if entry.shutdown.is_requested() {
+        if shutdown.is_requested() {
             connection.close_after_answer();
         }
         if connection.answer(answer).await.is_err() {
@@ -150,11 +176,11 @@
 }
 
 /// Waits for the next call; returns whether its first byte has arrived.
-async fn wait_for_call(entry: &Entry, connection: &mut CallerConnection) -> bool {
+async fn wait_for_call(shutdown: &Shutdown, connection: &mut CallerConnection) -> bool {
     let first = monoio::select! {
         biased;
         first = connection.idle() => Some(first),
-        () = entry.shutdown.closing() => None,
+        () = shutdown.closing() => None,
     };
     match first {
         Some(first) => first.is_ok(),
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -46,7 +46,7 @@
     pub claims: Rc<Claims>,
     pub probes: Probes,
     pub recorder: Recorder,
-    pub shutdown: Shutdown,
+    pub shutdown: Rc<Shutdown>,
     revision: RefCell<Option<Rc<Revision>>>,
     calls: Cell<u64>,
 }
@@ -71,7 +71,7 @@
             claims,
             probes,
             recorder: Recorder::default(),
-            shutdown: Shutdown::default(),
+            shutdown: Rc::default(),
             revision: RefCell::default(),
             calls: Cell::new(0),
         }
--- /dev/null
+++ b/src/process/gateway/admin.rs
@@ -0,0 +1,30 @@
+//! Readiness, metrics and status.
+
+use super::Gateway;
+use crate::prelude::*;
+
+/// Answers a question about the entry.
+pub async fn handle(gateway: Rc<Gateway>, call: Call) -> Answer {
+    match call.uri.path() {
+        "/metrics" => Answer::new(StatusCode::OK, gateway.metrics.render()),
+        "/ready" if gateway.is_ready() => Answer::new(StatusCode::OK, "ready"),
+        "/ready" => Answer::own(Code::NotReady),
+        "/status" => Answer::new(StatusCode::OK, status(&gateway)),
+        _ => Answer::new(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+fn status(gateway: &Gateway) -> String {
+    let (settings, now) = (gateway.settings.borrow(), Instant::now());
+    let age = gateway.contact.borrow().age(now);
+    serde_json::json!({
+        "name": settings.name,
+        "domain": settings.domain,
+        "ready": gateway.is_ready(),
+        "version": gateway.table().map(|table| table.version),
+        "targets": gateway.roster.borrow().len(),
+        "directoryAgeMs": age.map(|age| age.as_millis() as u64),
+        "inflight": gateway.shutdown.inflight(),
+    })
+    .to_string()
+}
--- /dev/null
+++ b/src/process/gateway/choice.rs
@@ -0,0 +1,83 @@
+//! Which targets to ask for their load, and which of them to use.
+
+use rand::seq::SliceRandom;
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::member::{Member, MemberKey};
+use super::reading::Reading;
+use crate::prelude::*;
+
+/// Targets of the entry's own failure domain, and of others, that are asked for one call.
+const NEAR_ASKED: usize = 3;
+const ALL_ASKED: usize = 5;
+/// Targets of a service that an entry uses, so that its connections stay warm in a large fleet.
+const NEAR_USED: usize = 8;
+const ALL_USED: usize = 12;
+/// Factor on the cost of a target in another failure domain.
+const FAR_FACTOR: f64 = 1.3;
+/// Factor on the cost of a target that has just started.
+const COLD_FACTOR: f64 = 2.0;
+/// Factor on the cost of a target that calls itself unhealthy, which may be wrong.
+const UNHEALTHY_FACTOR: f64 = 10.0;
+/// Cost of a target that does not tell its load, in units of a call's usual duration.
+const UNKNOWN_COST: f64 = 2.0;
+
+/// A target that may be asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Candidate {
+    pub key: MemberKey,
+    pub near: bool,
+    pub doubtful: bool,
+    /// Place among the candidates by rendezvous hashing with the entry.
+    pub rank: u64,
+}
+
+impl Candidate {
+    /// A target as seen by the entry `name` in `domain`.
+    pub fn new(key: MemberKey, member: &Member, name: &str, domain: &str, now: Instant) -> Self {
+        let registration = &member.registration;
+        let seed = xxh3_64_with_seed(name.as_bytes(), 0);
+        Self {
+            key,
+            near: &*registration.domain == domain,
+            doubtful: member.is_doubtful(now),
+            rank: xxh3_64_with_seed(registration.id.as_bytes(), seed),
+        }
+    }
+}
+
+/// Picks the targets to ask, near ones first; doubtful ones only for want of others.
+pub fn to_ask(mut candidates: Vec<Candidate>, rng: &mut impl Rng) -> Vec<MemberKey> {
+    if candidates.iter().any(|candidate| !candidate.doubtful) {
+        candidates.retain(|candidate| !candidate.doubtful);
+    }
+    candidates.sort_by_key(|candidate| candidate.rank);
+    let (mut near, mut far): (Vec<_>, Vec<_>) =
+        candidates.into_iter().partition(|candidate| candidate.near);
+    let near_used = near.len().min(NEAR_USED.max(ALL_USED.saturating_sub(far.len())));
+    near.truncate(near_used);
+    far.truncate(ALL_USED - near_used);
+    near.shuffle(rng);
+    far.shuffle(rng);
+    let near_asked = near.len().min(NEAR_ASKED.max(ALL_ASKED.saturating_sub(far.len())));
+    near.truncate(near_asked);
+    far.truncate(ALL_ASKED - near_asked);
+    near.into_iter().chain(far).map(|candidate| candidate.key).collect()
+}
+
+/// Cost of a call at a target, in units of the call's usual duration.
+pub fn cost(member: &Member, reading: &Reading, domain: &str, now: Instant) -> f64 {
+    let stretch = reading.load.map_or(UNKNOWN_COST, |load| load.stretch());
+    let mut cost = stretch + f64::from(member.inflight) * f64::EPSILON;
+    if &*member.registration.domain != domain {
+        cost *= FAR_FACTOR;
+    }
+    if now < member.warm {
+        cost *= COLD_FACTOR;
+    }
+    if !reading.healthy {
+        cost *= UNHEALTHY_FACTOR;
+    }
+    cost
+}
--- /dev/null
+++ b/src/process/gateway/member.rs
@@ -0,0 +1,56 @@
+//! One registered target.
+
+use super::reading::Reading;
+use super::trouble::Trouble;
+use crate::prelude::*;
+use crate::process::pool::Pool;
+use crate::version::registration::{Registration, TargetState};
+
+slotmap::new_key_type! {
+    /// Key of a registered target.
+    pub struct MemberKey;
+}
+
+/// State of one incarnation of a target.
+pub struct Member {
+    pub registration: Registration,
+    pub pool: Rc<Pool>,
+    /// Offset of the newest report.
+    pub offset: u64,
+    /// When the target works at full speed.
+    pub warm: Instant,
+    /// When the target counts as gone, if its entry lapsed while the directory was away.
+    pub lapse: Option<Instant>,
+    pub trouble: Trouble,
+    /// Calls of this entry that run there.
+    pub inflight: u32,
+    pub reading: Option<Reading>,
+}
+
+impl Member {
+    /// A target that was just registered.
+    pub fn new(registration: Registration, offset: u64, connections: u32, now: Instant) -> Self {
+        let pool = Rc::new(Pool::new(registration.address, connections));
+        Self {
+            warm: now + registration.warmup,
+            registration,
+            pool,
+            offset,
+            lapse: None,
+            trouble: Trouble::default(),
+            inflight: 0,
+            reading: None,
+        }
+    }
+
+    /// Whether the target may get new calls.
+    pub fn is_eligible(&self, now: Instant) -> bool {
+        let is_present = self.lapse.is_none_or(|lapse| now < lapse);
+        self.registration.state == TargetState::Ready && is_present
+    }
+
+    /// Whether the target should get new calls only for want of others.
+    pub fn is_doubtful(&self, now: Instant) -> bool {
+        self.lapse.is_some() || self.trouble.is_avoided(now)
+    }
+}
--- /dev/null
+++ b/src/process/gateway/mod.rs
@@ -0,0 +1,112 @@
+//! The gateway: an entry whose routes and targets come from a directory.
+
+pub mod admin;
+pub mod choice;
+pub mod contact;
+pub mod follower;
+pub mod member;
+pub mod naming;
+pub mod probing;
+pub mod reading;
+pub mod reload;
+pub mod retry_budget;
+pub mod roster;
+pub mod run;
+pub mod settings;
+pub mod trouble;
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use self::contact::Contact;
+use self::naming::Naming;
+use self::retry_budget::RetryBudget;
+use self::roster::Roster;
+use self::settings::GatewaySettings;
+use super::observe::Metrics;
+use super::shutdown::Shutdown;
+use crate::connection::limits::Limits;
+use crate::connection::tasks::Tasks;
+use crate::prelude::*;
+use crate::version::route_table::RouteTable;
+
+/// Most connections of one entry to one target.
+const TARGET_CONNECTIONS: u32 = 8;
+
+/// State that the tasks of one gateway share.
+pub struct Gateway {
+    pub settings: RefCell<GatewaySettings>,
+    pub naming: Naming,
+    pub metrics: Metrics,
+    pub roster: RefCell<Roster>,
+    pub retries: RefCell<RetryBudget>,
+    pub shutdown: Rc<Shutdown>,
+    pub limits: Rc<Cell<Limits>>,
+    pub rng: RefCell<SmallRng>,
+    /// Contact with the directory's feed of targets.
+    pub contact: RefCell<Contact>,
+    /// Probes under way, which outlive the calls that asked for them.
+    pub probes: Tasks,
+    table: RefCell<Option<Rc<RouteTable>>>,
+    /// Whether the roster was filled once.
+    filled: Cell<bool>,
+}
+
+impl Gateway {
+    /// Creates the state of a gateway that knows nothing yet.
+    pub fn new(settings: GatewaySettings, naming: Naming) -> Self {
+        let retries = RetryBudget::new(settings.retry_ratio, settings.retry_window());
+        Self {
+            settings: RefCell::new(settings),
+            naming,
+            metrics: Metrics::default(),
+            roster: RefCell::new(Roster::new(TARGET_CONNECTIONS)),
+            retries: RefCell::new(retries),
+            shutdown: Rc::default(),
+            limits: Rc::default(),
+            rng: RefCell::new(SmallRng::from_os_rng()),
+            contact: RefCell::default(),
+            probes: Tasks::default(),
+            table: RefCell::default(),
+            filled: Cell::new(false),
+        }
+    }
+
+    /// The routes in force.
+    pub fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts routes in force, unless newer ones are; returns whether they are in force now.
+    pub fn set_table(&self, table: Rc<RouteTable>) -> bool {
+        if self.table().is_some_and(|current| current.version >= table.version) {
+            return false;
+        }
+        let bounds = table.bounds;
+        self.limits.set(Limits {
+            head_bytes: bounds.head_bytes,
+            head_time: bounds.head_time,
+            body_bytes: bounds.body_bytes,
+            idle_time: bounds.idle_time,
+            ..self.limits.get()
+        });
+        self.metrics.gauge("cornellink_revision", table.version as f64);
+        self.table.replace(Some(table));
+        true
+    }
+
+    /// Takes note that the roster holds all targets of the directory.
+    pub fn set_filled(&self) {
+        self.filled.set(true);
+    }
+
+    /// Whether the entry takes new callers.
+    pub fn is_ready(&self) -> bool {
+        self.table.borrow().is_some() && self.filled.get() && !self.shutdown.is_requested()
+    }
+
+    /// A random share of a time, so that callers do not return together.
+    pub fn spread(&self, span: Duration) -> Duration {
+        span.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5))
+    }
+}
--- /dev/null
+++ b/src/process/gateway/roster.rs
@@ -0,0 +1,198 @@
+//! The registered targets, as the directory's changes describe them.
+//!
+//! A report counts only if it follows the last one of its id, since a delayed write may put an
+//! older report behind a newer one or even behind the removal.
+
+use std::collections::{HashMap, HashSet};
+
+use slotmap::SlotMap;
+
+use super::member::{Member, MemberKey};
+use crate::edge::directory::{Change, News};
+use crate::prelude::*;
+use crate::version::registration::{Registration, TargetState};
+
+/// Removed targets whose last report is remembered.
+const MAX_REMOVED: usize = 8192;
+
+/// What a change did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Added,
+    /// A new incarnation has taken the id.
+    Reborn,
+    Drains,
+    /// The entry lapsed while the directory was away and may come back.
+    Lapsed,
+    /// A lapsed entry came back.
+    Returned,
+    Removed,
+    /// The entry cannot be used and names no target.
+    Unusable(String),
+    /// The change is older than what is known, or says nothing new.
+    Unchanged,
+}
+
+/// How the absence of an entry is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// The target is gone.
+    Gone,
+    /// The target may have been unable to renew its entry until this moment.
+    MayReturn(Instant),
+}
+
+/// All registered targets.
+#[derive(Default)]
+pub struct Roster {
+    members: SlotMap<MemberKey, Member>,
+    ids: HashMap<Rc<str>, MemberKey>,
+    services: HashMap<Rc<str>, Vec<MemberKey>>,
+    /// Order of the last report of removed targets.
+    removed: HashMap<Rc<str>, (u64, u64)>,
+    /// Most connections to one target.
+    connections: u32,
+}
+
+impl Roster {
+    /// An empty roster; at most `connections` are opened to one target.
+    pub fn new(connections: u32) -> Self {
+        Self { connections, ..Self::default() }
+    }
+
+    /// A target.
+    pub fn get(&self, key: MemberKey) -> Option<&Member> {
+        self.members.get(key)
+    }
+
+    /// A target, to change it.
+    pub fn get_mut(&mut self, key: MemberKey) -> Option<&mut Member> {
+        self.members.get_mut(key)
+    }
+
+    /// The targets of a service.
+    pub fn service(&self, name: &str) -> impl Iterator<Item = (MemberKey, &Member)> {
+        let keys = self.services.get(name).map_or(&[][..], Vec::as_slice);
+        keys.iter().map(|key| (*key, &self.members[*key]))
+    }
+
+    /// Number of targets.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether there are no targets.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Applies one change.
+    pub fn apply(&mut self, change: &Change, absence: Absence, now: Instant) -> Effect {
+        let known = self.ids.get(&change.key).map(|key| self.members[*key].offset);
+        if known.is_some_and(|offset| change.offset < offset) {
+            return Effect::Unchanged;
+        }
+        match &change.news {
+            News::Target(registration) => self.report(registration, change.offset, now),
+            News::Removed => self.lose(&change.key, absence),
+            News::Unusable(reason) => {
+                self.remove(&change.key);
+                Effect::Unusable(reason.clone())
+            }
+            News::Routes(_) => Effect::Unchanged,
+        }
+    }
+
+    /// Reads the absence of all targets that a snapshot does not hold.
+    pub fn retain(&mut self, held: &HashSet<Rc<str>>, absence: Absence) -> Vec<(Rc<str>, Effect)> {
+        let missing: Vec<Rc<str>> =
+            self.ids.keys().filter(|id| !held.contains(*id)).cloned().collect();
+        missing.into_iter().map(|id| (id.clone(), self.lose(&id, absence))).collect()
+    }
+
+    /// Removes lapsed targets whose time to return has passed.
+    pub fn purge(&mut self, now: Instant) -> Vec<Rc<str>> {
+        let is_over = |member: &Member| member.lapse.is_some_and(|lapse| now >= lapse);
+        let over = self.members.values().filter(|member| is_over(member));
+        let ids: Vec<Rc<str>> = over.map(|member| member.registration.id.clone()).collect();
+        for id in &ids {
+            self.remove(id);
+        }
+        ids
+    }
+
+    fn report(&mut self, registration: &Registration, offset: u64, now: Instant) -> Effect {
+        let id = &registration.id;
+        let Some(key) = self.ids.get(id).copied() else {
+            let is_late = self.removed.get(id).is_some_and(|last| registration.order() <= *last);
+            if is_late {
+                return Effect::Unchanged;
+            }
+            self.add(registration.clone(), offset, now);
+            return Effect::Added;
+        };
+        let member = &mut self.members[key];
+        let known = &member.registration;
+        if registration.order() <= known.order() {
+            return Effect::Unchanged;
+        }
+        let is_same = registration.born == known.born
+            && registration.address == known.address
+            && registration.service == known.service;
+        if !is_same {
+            self.remove(id);
+            self.add(registration.clone(), offset, now);
+            return Effect::Reborn;
+        }
+        let drains =
+            known.state == TargetState::Ready && registration.state == TargetState::Draining;
+        member.offset = offset;
+        member.warm = now + registration.warmup;
+        member.registration = registration.clone();
+        match (drains, member.lapse.take()) {
+            (true, _) => Effect::Drains,
+            (false, Some(_)) => Effect::Returned,
+            (false, None) => Effect::Unchanged,
+        }
+    }
+
+    fn lose(&mut self, id: &str, absence: Absence) -> Effect {
+        let Some(key) = self.ids.get(id).copied() else { return Effect::Unchanged };
+        let member = &mut self.members[key];
+        match absence {
+            Absence::MayReturn(end) if member.registration.state == TargetState::Ready => {
+                let first = member.lapse.is_none();
+                member.lapse.get_or_insert(end);
+                if first {
+                    Effect::Lapsed
+                } else {
+                    Effect::Unchanged
+                }
+            }
+            Absence::MayReturn(_) | Absence::Gone => {
+                self.remove(id);
+                Effect::Removed
+            }
+        }
+    }
+
+    fn add(&mut self, registration: Registration, offset: u64, now: Instant) {
+        let (id, service) = (registration.id.clone(), registration.service.clone());
+        let key = self.members.insert(Member::new(registration, offset, self.connections, now));
+        self.ids.insert(id, key);
+        self.services.entry(service).or_default().push(key);
+    }
+
+    fn remove(&mut self, id: &str) {
+        let Some(key) = self.ids.remove(id) else { return };
+        let Some(member) = self.members.remove(key) else { return };
+        let registration = member.registration;
+        if let Some(keys) = self.services.get_mut(&registration.service) {
+            keys.retain(|other| *other != key);
+        }
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.clear();
+        }
+        self.removed.insert(registration.id.clone(), registration.order());
+    }
+}
--- /dev/null
+++ b/src/process/gateway/run.rs
@@ -0,0 +1,74 @@
+//! Runs a gateway from its start to its end.
+
+use super::naming::Naming;
+use super::reload;
+use super::settings::GatewaySettings;
+use super::{admin, follower, Gateway};
+use crate::connection::server;
+use crate::connection::tasks::Tasks;
+use crate::edge::directory::Directory;
+use crate::prelude::*;
+use crate::process::callers::Callers;
+use crate::process::shutdown::{Hangups, Signals};
+use crate::process::Result;
+use crate::request::relay;
+
+/// Memory that the calls of all callers may occupy.
+const CALLS_MEMORY: usize = 96 * 1024 * 1024;
+/// Descriptors that are not left to callers: connections to targets, listeners and files.
+const OTHER_DESCRIPTORS: u64 = 800;
+
+/// Serves callers until a signal asks for the end; `path` names the settings file.
+pub async fn serve(
+    path: String,
+    settings: GatewaySettings,
+    naming: Naming,
+    directory: Rc<dyn Directory>,
+) -> Result<()> {
+    let (signals, hangups) = (Signals::catch()?, Hangups::catch()?);
+    let listener = server::bind(settings.listen)?;
+    let ready = server::bind(settings.ready)?;
+    let admin = server::bind(settings.admin)?;
+    let gateway = Rc::new(Gateway::new(settings, naming));
+    log::info!(
+        name = gateway.settings.borrow().name.as_str(), version = env!("CARGO_PKG_VERSION");
+        "entry started"
+    );
+    let background = Tasks::default();
+    for listener in [ready, admin] {
+        let state = gateway.clone();
+        background.spawn(server::serve(listener, move |call| admin::handle(state.clone(), call)));
+    }
+    background.spawn(follower::follow(gateway.clone(), directory));
+    background.spawn(reload::watch(gateway.clone(), path, hangups));
+    let state = gateway.clone();
+    background.spawn(async move {
+        signals.received().await;
+        log::info!(inflight = state.shutdown.inflight(); "entry stopping");
+        state.shutdown.request();
+    });
+    callers(&gateway, listener).serve().await;
+    background.stop();
+    background.join().await;
+    gateway.probes.stop();
+    gateway.probes.join().await;
+    log::info!("entry stopped");
+    Ok(())
+}
+
+fn callers(gateway: &Rc<Gateway>, listener: monoio::net::TcpListener) -> Callers {
+    let settings = gateway.settings.borrow();
+    let state = gateway.clone();
+    Callers {
+        listener,
+        limits: gateway.limits.clone(),
+        memory: Rc::new(crate::connection::memory::Memory::new(CALLS_MEMORY)),
+        max_connections: settings.descriptors.saturating_sub(OTHER_DESCRIPTORS).max(64) as usize,
+        delay: settings.accept_time(),
+        limit: settings.end_time(),
+        shutdown: gateway.shutdown.clone(),
+        handler: Rc::new(move |call| Box::pin(relay::relay(state.clone(), call))),
+        open: Rc::default(),
+        tasks: Tasks::default(),
+    }
+}
--- /dev/null
+++ b/src/process/gateway/settings.rs
@@ -0,0 +1,115 @@
+//! The settings of a gateway.
+
+use serde::Deserialize;
+
+use super::super::Result;
+use crate::prelude::*;
+use crate::version::check;
+use crate::version::check::part::Part;
+use crate::version::check::problem::Report;
+use crate::version::check::schema::{Field, Kind, Schema};
+
+/// Longest time that can be stated, one hour in milliseconds.
+const MAX_TIME_MS: u64 = 3_600_000;
+/// Time before the end of the grace period by which the process has ended.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Part of the grace period in which new calls are still taken.
+const ACCEPT_PART: f64 = 0.45;
+
+/// What a gateway learns from its settings file; each field has a row in `SCHEMA`.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(rename_all = "camelCase")]
+pub struct GatewaySettings {
+    /// Name of the entry, unique in its environment.
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address that answers whether the entry takes new callers.
+    pub ready: SocketAddr,
+    /// Address for metrics and status.
+    pub admin: SocketAddr,
+    /// Address of the directory.
+    pub directory: SocketAddr,
+    /// Most entries that run at a time.
+    pub max_entries: u32,
+    /// Repeats for each call, of all entries together.
+    pub retry_ratio: f64,
+    /// Time over which repeats are counted, in milliseconds.
+    pub retry_window_ms: u64,
+    /// Probes for each target and second, of all entries together.
+    pub probes: f64,
+    /// Time from the signal to end until the process is killed, in milliseconds.
+    pub grace_ms: u64,
+    /// Most descriptors.
+    pub descriptors: u64,
+    /// Log filter.
+    pub log: String,
+}
+
+const TIME: Kind = Kind::Integer { min: 1, max: MAX_TIME_MS };
+
+/// The fields of a settings file, with their defaults.
+pub const SCHEMA: Schema = Schema {
+    fields: &[
+        Field::required("name", Kind::Name),
+        Field::required("domain", Kind::Name),
+        Field::required("listen", Kind::Listen),
+        Field::required("ready", Kind::Listen),
+        Field::required("admin", Kind::Listen),
+        Field::required("directory", Kind::Address),
+        Field::default("maxEntries", Kind::Integer { min: 1, max: 100_000 }, "16"),
+        Field::default("retryRatio", Kind::Number { min: 0.0, max: 1.0 }, "0.1"),
+        Field::default("retryWindowMs", TIME, "10000"),
+        Field::default("probes", Kind::Number { min: 0.0, max: 100_000.0 }, "50.0"),
+        Field::default("graceMs", TIME, "30000"),
+        Field::default("descriptors", Kind::Integer { min: 64, max: 10_000_000 }, "4096"),
+        Field::default("log", Kind::Text { max: 256 }, "\"info\""),
+    ],
+};
+
+impl GatewaySettings {
+    /// Reads the settings from a file of JSON with comments.
+    pub fn load(path: &str) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| Error::File { path: path.into(), source })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks settings.
+    pub fn parse(text: &str) -> Result<Self> {
+        check::read(text, &SCHEMA, check_listeners)
+    }
+
+    /// Time over which repeats are counted.
+    pub fn retry_window(&self) -> Duration {
+        Duration::from_millis(self.retry_window_ms)
+    }
+
+    /// Time from the signal to end until no new call is taken.
+    pub fn accept_time(&self) -> Duration {
+        self.grace().mul_f64(ACCEPT_PART)
+    }
+
+    /// Time from the signal to end until running calls are cut.
+    pub fn end_time(&self) -> Duration {
+        self.grace().saturating_sub(GRACE_MARGIN)
+    }
+
+    fn grace(&self) -> Duration {
+        Duration::from_millis(self.grace_ms)
+    }
+}
+
+fn check_listeners(root: &Part, report: &mut Report) {
+    let names = ["listen", "ready", "admin"];
+    for (index, name) in names.iter().enumerate() {
+        let Some(address) = root.text(name).filter(|address| !address.ends_with(":0")) else {
+            continue;
+        };
+        if names[..index].iter().any(|other| root.text(other) == Some(address)) {
+            report.add(name, "expected an address that no other listener has".into());
+        }
+    }
+}
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -2,11 +2,26 @@
 
 use std::io::Write;
 
+use env_logger::Target;
 use log::kv::{Key, Value, VisitSource};
 
+use super::log_writer::LogWriter;
+
 /// Starts logging at a level such as `info`.
 pub fn init(level: &str) {
+    start(env_logger::Builder::new(), level);
+}
+
+/// Starts logging to the standard output, without ever waiting for its reader.
+pub fn init_stdout(level: &str) -> LogWriter {
+    let writer = LogWriter::start(std::io::stdout());
     let mut builder = env_logger::Builder::new();
+    builder.target(Target::Pipe(Box::new(writer.clone())));
+    start(builder, level);
+    writer
+}
+
+fn start(mut builder: env_logger::Builder, level: &str) {
     builder.parse_filters(level);
     builder.format(|buffer, record| {
         let mut line = Line::default();
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -155,6 +155,16 @@
 }
 
 impl Lease {
+    /// Whether the connection can carry a call.
+    pub fn is_open(&self) -> bool {
+        self.connection.as_ref().is_some_and(TargetConnection::is_open)
+    }
+
+    /// The pool of the connection.
+    pub fn pool(&self) -> Rc<Pool> {
+        self.pool.clone()
+    }
+
     /// The connection.
     pub fn connection(&mut self) -> &mut TargetConnection {
         self.connection.as_mut().expect("a lease is given out with a connection")
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -6,7 +6,7 @@
 use monoio::io::AsyncReadRent;
 use monoio::net::UnixStream;
 use serde::Deserialize;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
 use super::Result;
 use crate::prelude::*;
@@ -99,7 +99,7 @@
 impl Signals {
     /// Starts to catch SIGTERM and SIGINT, which then no longer end the process.
     pub fn catch() -> Result<Self> {
-        let receiver = register().map_err(|source| Error::Signal { source })?;
+        let receiver = register(&[SIGTERM, SIGINT]).map_err(|source| Error::Signal { source })?;
         Ok(Self { receiver })
     }
 
@@ -109,10 +109,29 @@
     }
 }
 
-fn register() -> std::io::Result<UnixStream> {
+/// The signal that asks a process to read its settings again.
+pub struct Hangups {
+    receiver: UnixStream,
+}
+
+impl Hangups {
+    /// Starts to catch SIGHUP, which then no longer ends the process.
+    pub fn catch() -> Result<Self> {
+        let receiver = register(&[SIGHUP]).map_err(|source| Error::Signal { source })?;
+        Ok(Self { receiver })
+    }
+
+    /// Resolves at the next signal; several that came meanwhile count as one.
+    pub async fn received(&mut self) {
+        let _ = self.receiver.read(vec![0; 64]).await;
+    }
+}
+
+fn register(signals: &[i32]) -> std::io::Result<UnixStream> {
     let (sender, receiver) = StdStream::pair()?;
     receiver.set_nonblocking(true)?;
-    signal_hook::low_level::pipe::register(SIGTERM, sender.try_clone()?)?;
-    signal_hook::low_level::pipe::register(SIGINT, sender)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, sender.try_clone()?)?;
+    }
     UnixStream::from_std(receiver)
 }
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -36,6 +36,11 @@
         self.set(header::CODE, &code.number().to_string());
     }
 
+    /// Sets the time after which the caller should come back.
+    pub fn set_retry_after(&mut self, pause: Duration) {
+        self.set("retry-after", &format!("{:.3}", pause.as_secs_f64()));
+    }
+
     /// A header's value, if it is present and visible ASCII.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.get(name)?.to_str().ok()
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -9,4 +9,7 @@
 pub mod holder;
 pub mod keyed;
 pub mod matched;
+pub mod relay;
+pub mod relay_attempt;
+pub mod relayed;
 pub mod retry;
--- /dev/null
+++ b/src/request/relay_attempt.rs
@@ -0,0 +1,154 @@
+//! One attempt of a relayed call.
+
+use super::attempt::Attempt;
+use super::relayed::Relayed;
+use crate::connection::fault::{Fault, Lost};
+use crate::connection::forward::clean_answer;
+use crate::prelude::*;
+use crate::process::gateway::member::MemberKey;
+use crate::process::gateway::probing::Choice;
+use crate::process::gateway::Gateway;
+use crate::process::pool::Lease;
+
+/// Sends a call to the chosen target.
+pub async fn send(
+    gateway: &Rc<Gateway>,
+    relayed: &mut Relayed,
+    call: &mut Call,
+    choice: Choice,
+) -> Attempt {
+    let Some(place) = Place::take(gateway, choice.key) else {
+        return Attempt::NotSent(Code::NotRunNoTarget);
+    };
+    relayed.note_choice(&choice, &place.id);
+    let left = relayed.deadline.left(Instant::now());
+    if left.is_zero() {
+        return Attempt::NotSent(Code::NotRunDeadline);
+    }
+    let start = Instant::now();
+    let Some(mut lease) = usable(choice.lease, left).await else {
+        place.fail();
+        relayed.note_attempt(&place.id, "no connection", start);
+        return Attempt::NotRun(Code::NotRunConnect);
+    };
+    let left = relayed.deadline.left(Instant::now());
+    call.set(gateway.naming.expected, &place.id);
+    call.set(gateway.naming.deadline, &left.as_millis().max(1).to_string());
+    let (names, id) = (&gateway.naming, relayed.id.clone());
+    let is_own = |answer: &Answer| answer.header(names.call_id).is_none_or(|named| named == id);
+    relayed.sends += 1;
+    let exchange = lease.connection().exchange_own(call, is_own);
+    let result = monoio::time::timeout(left, exchange).await;
+    let has_sent = lease.connection().has_sent();
+    drop(lease);
+    let attempt = match result {
+        Err(_) => {
+            place.fail();
+            Attempt::Unknown(Code::UnknownDeadline)
+        }
+        Ok(Err(Lost { fault, sent })) => lost(&place, fault, sent),
+        Ok(Ok(answer)) => judge(gateway, relayed, &place, answer),
+    };
+    if !has_sent {
+        relayed.sends -= 1;
+    }
+    relayed.note_attempt(&place.id, outcome(&attempt), start);
+    attempt
+}
+
+/// The connection of the probe, or another one if the target has ended that one.
+async fn usable(lease: Lease, left: Duration) -> Option<Lease> {
+    if lease.is_open() {
+        return Some(lease);
+    }
+    let pool = lease.pool();
+    drop(lease);
+    monoio::time::timeout(left, pool.take()).await.ok()?.ok()
+}
+
+fn lost(place: &Place, fault: Fault, sent: bool) -> Attempt {
+    place.fail();
+    match (sent, fault) {
+        (false, _) => Attempt::NotRun(Code::NotRunConnect),
+        (true, Fault::Closed) => Attempt::Unknown(Code::UnknownConnection),
+        (true, _) => Attempt::Unknown(Code::UnknownAnswer),
+    }
+}
+
+/// Reads a target's answer.
+fn judge(gateway: &Gateway, relayed: &Relayed, place: &Place, mut answer: Answer) -> Attempt {
+    let names = &gateway.naming;
+    if names.is_not_run(&answer) {
+        match answer.status {
+            StatusCode::MISDIRECTED_REQUEST => place.fail(),
+            _ => place.refuse(),
+        }
+        return Attempt::NotRun(Code::NotRunRefused);
+    }
+    if answer.status.is_success() && !is_whole(gateway, relayed, &answer) {
+        place.fail();
+        return Attempt::Unknown(Code::UnknownAnswer);
+    }
+    if answer.status.is_server_error() {
+        place.fail();
+    }
+    // The status would promise that the call was not run, which the target has not said.
+    let promises = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
+    if promises && !relayed.route.idempotent {
+        return Attempt::Unknown(Code::UnknownAnswer);
+    }
+    clean_answer(&mut answer.headers);
+    Attempt::Answered(answer)
+}
+
+/// Whether a success is the target's response to this call.
+fn is_whole(gateway: &Gateway, relayed: &Relayed, answer: &Answer) -> bool {
+    let names = &gateway.naming;
+    answer.headers.contains_key(names.seal)
+        && answer.header(names.call_id).unwrap_or_default() == relayed.id
+        && !answer.headers.contains_key(http::header::CONTENT_ENCODING)
+}
+
+fn outcome(attempt: &Attempt) -> &'static str {
+    match attempt {
+        Attempt::Answered(_) => "answered",
+        Attempt::NotSent(code) | Attempt::NotRun(code) | Attempt::Unknown(code) => code.text(),
+    }
+}
+
+/// A call's place at a target until the value is dropped.
+struct Place {
+    gateway: Rc<Gateway>,
+    key: MemberKey,
+    id: Rc<str>,
+}
+
+impl Place {
+    fn take(gateway: &Rc<Gateway>, key: MemberKey) -> Option<Self> {
+        let mut roster = gateway.roster.borrow_mut();
+        let member = roster.get_mut(key).filter(|member| member.is_eligible(Instant::now()))?;
+        member.inflight += 1;
+        let id = member.registration.id.clone();
+        Some(Self { gateway: gateway.clone(), key, id })
+    }
+
+    fn fail(&self) {
+        if let Some(member) = self.gateway.roster.borrow_mut().get_mut(self.key) {
+            member.trouble.fail(Instant::now());
+        }
+    }
+
+    fn refuse(&self) {
+        if let Some(member) = self.gateway.roster.borrow_mut().get_mut(self.key) {
+            member.trouble.refuse(Instant::now());
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(member) = self.gateway.roster.borrow_mut().get_mut(self.key) {
+            member.inflight -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/request/relayed.rs
@@ -0,0 +1,134 @@
+//! A call on its way along a route.
+
+use crate::prelude::*;
+use crate::process::gateway::probing::Choice;
+use crate::process::gateway::Gateway;
+use crate::version::route::Route;
+
+/// Deadline of a call that names none beyond its route's timeout.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug)]
+pub enum Ended {
+    Answered(Code, StatusCode),
+    /// The caller left before its answer.
+    Left,
+}
+
+/// A call with its route, and what became of it so far.
+pub struct Relayed {
+    pub id: String,
+    pub route: Rc<Route>,
+    pub service: Rc<str>,
+    pub probe_path: String,
+    /// Version of the routes that decided.
+    pub version: u64,
+    pub arrived: Instant,
+    pub deadline: Deadline,
+    /// Attempts in which a byte of the call may have left.
+    pub sends: u32,
+    gateway: Rc<Gateway>,
+    has_ended: bool,
+}
+
+impl Relayed {
+    /// Finds a call's route.
+    pub fn find(gateway: &Rc<Gateway>, call: &Call, now: Instant) -> Result<Self, Code> {
+        let table = gateway.table().ok_or(Code::NotReady)?;
+        let host = call.header("host").unwrap_or_default();
+        let route = table.find(host, call.uri.path()).ok_or(Code::RefusedService)?.clone();
+        let service = route.assign().clone();
+        let plan = table.service(&service).ok_or(Code::RefusedService)?;
+        let left = call.header(gateway.naming.deadline).and_then(|text| text.trim().parse().ok());
+        let left = left.map_or(MAX_DEADLINE, Duration::from_millis);
+        Ok(Self {
+            id: call.header(gateway.naming.call_id).unwrap_or_default().to_owned(),
+            service,
+            probe_path: plan.probe_path.clone(),
+            version: table.version,
+            arrived: now,
+            deadline: Deadline::after(now, left.min(route.timeout)),
+            sends: 0,
+            gateway: gateway.clone(),
+            has_ended: false,
+            route,
+        })
+    }
+
+    /// Logs the choice of a target.
+    pub fn note_choice(&self, choice: &Choice, target: &str) {
+        let now = Instant::now();
+        let load = choice.reading.load;
+        let age = self.gateway.contact.borrow().age(now).unwrap_or_default();
+        log::info!(
+            call = self.id.as_str(), route = &*self.route.name, service = &*self.service,
+            version = self.version, attempt = self.sends + 1, target_id = target,
+            running = load.map_or(0, |load| load.running),
+            waiting = load.map_or(0, |load| load.waiting),
+            pace = load.map_or(0, |load| load.pace),
+            healthy = choice.reading.healthy,
+            reading_us = choice.reading.age_us(now), asked = choice.asked, heard = choice.heard,
+            directory_ms = age.as_millis() as u64,
+            left_ms = self.deadline.left(now).as_millis() as u64;
+            "call routed"
+        );
+    }
+
+    /// Logs a search that found no target.
+    pub fn note_search(&self, gateway: &Gateway, code: Code, tried: usize) {
+        let now = Instant::now();
+        let age = gateway.contact.borrow().age(now).unwrap_or_default();
+        log::info!(
+            call = self.id.as_str(), service = &*self.service, version = self.version,
+            code = code.number(), tried, registered = gateway.roster.borrow().service(&self.service).count(),
+            directory_ms = age.as_millis() as u64;
+            "no target found"
+        );
+    }
+
+    /// Logs that the budget allows no repeat.
+    pub fn note_budget(&self) {
+        self.gateway.metrics.count("cornellink_retries_refused_total");
+        log::info!(
+            call = self.id.as_str(), service = &*self.service, sends = self.sends;
+            "retry budget spent"
+        );
+    }
+
+    /// Logs how an attempt ended.
+    pub fn note_attempt(&self, target: &str, outcome: &str, start: Instant) {
+        log::info!(
+            call = self.id.as_str(), target_id = target, attempt = self.sends, outcome,
+            micros = start.elapsed().as_micros() as u64;
+            "attempt ended"
+        );
+    }
+
+    /// Logs and counts the end of the call.
+    pub fn end(&mut self, ended: Ended) {
+        self.has_ended = true;
+        let (code, status) = match ended {
+            Ended::Answered(code, status) => (code, status.as_u16()),
+            Ended::Left if self.sends > 0 => (Code::UnknownCancelled, 0),
+            Ended::Left => (Code::NotRunCancelled, 0),
+        };
+        let whole = self.arrived.elapsed();
+        self.gateway.metrics.call(&self.route.host, &self.route.name, code, whole);
+        log::info!(
+            call = self.id.as_str(), route = &*self.route.name, service = &*self.service,
+            version = self.version, code = code.number(), status, attempts = self.sends,
+            micros = whole.as_micros() as u64;
+            "call ended"
+        );
+    }
+}
+
+impl Drop for Relayed {
+    /// A call that is dropped before its end is one whose caller has left.
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.end(Ended::Left);
+        }
+    }
+}
