--- a/src/edge/directory.rs
+++ b/src/edge/directory.rs
@@ -42,14 +42,15 @@
     Unusable(String),
 }
 
-/// One change of an entry.
-#[derive(Clone, Debug)]
+/// One change of an entry, as the directory holds it.
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
     /// Place of the change in the stream.
     pub offset: u64,
     /// Name of the entry.
     pub key: Rc<str>,
-    pub news: News,
+    /// The entry, in the directory's own format; empty if it was removed.
+    pub value: Bytes,
 }
 
 /// Changes and the offset from which to read on.
@@ -67,6 +68,16 @@
     Gap,
 }
 
+/// Another entry, as the directory lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    pub name: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Address at which the entry shares what it reads.
+    pub address: SocketAddr,
+}
+
 /// The directory service.
 pub trait Directory {
     /// The newest change of each entry.
@@ -74,4 +85,13 @@
 
     /// Changes from `from` on, waiting up to `wait` for the first one.
     fn changes(&self, feed: Feed, from: u64, wait: Duration) -> Pending<'_, Read>;
+
+    /// What a change says; nothing if it concerns no route and no target.
+    fn decode(&self, feed: Feed, change: &Change) -> Option<News>;
+
+    /// Lists this entry, so that others find it.
+    fn list<'a>(&'a self, listing: &Listing) -> Pending<'a, ()>;
+
+    /// The listed entries, of which some may be gone.
+    fn listings(&self) -> Pending<'_, Vec<Listing>>;
 }
--- a/src/process/gateway/admin.rs
+++ b/src/process/gateway/admin.rs
@@ -1,5 +1,6 @@
 //! Readiness, metrics and status.
 
+use super::sharing::Reader;
 use super::Gateway;
 use crate::prelude::*;
 
@@ -16,7 +17,7 @@
 
 fn status(gateway: &Gateway) -> String {
     let (settings, now) = (gateway.settings.borrow(), Instant::now());
-    let age = gateway.contact.borrow().age(now);
+    let age = gateway.sharing.knowledge.borrow().age(now);
     serde_json::json!({
         "name": settings.name,
         "domain": settings.domain,
@@ -24,6 +25,11 @@
         "version": gateway.table().map(|table| table.version),
         "targets": gateway.roster.borrow().len(),
         "directoryAgeMs": age.map(|age| age.as_millis() as u64),
+        "reader": match &*gateway.sharing.reader.borrow() {
+            Reader::Own => settings.name.clone(),
+            Reader::Other(name) => name.clone(),
+        },
+        "subscribers": gateway.sharing.subscribers.len(),
         "inflight": gateway.shutdown.inflight(),
     })
     .to_string()
--- /dev/null
+++ b/src/process/gateway/apply.rs
@@ -0,0 +1,197 @@
+//! Takes over what the directory says, whoever has read it, and passes it on.
+
+use std::collections::HashSet;
+
+use super::roster::{Absence, Effect};
+use super::sharing::update::Update;
+use super::sharing::STALE_AGE;
+use super::Gateway;
+use crate::edge::directory::{Batch, Change, Directory, Feed, News};
+use crate::prelude::*;
+
+/// Where a change comes from, for logs.
+#[derive(Clone, Copy, Debug)]
+pub enum Source {
+    Directory,
+    Entry,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Directory => "directory",
+            Self::Entry => "entry",
+        }
+    }
+}
+
+impl Gateway {
+    /// Applies what was read from the routes' feed.
+    pub fn apply_routes(&self, directory: &dyn Directory, batch: Batch) {
+        let mut newest = None;
+        for change in batch.changes {
+            if self.apply_table(directory, &change, Source::Directory) {
+                newest = Some(change);
+            }
+        }
+        self.next_routes.set(Some(batch.next));
+        self.publish(Update { routes: newest, ..Update::default() });
+    }
+
+    /// Applies what was read from the targets' feed.
+    pub fn apply_targets(&self, directory: &dyn Directory, batch: Batch, is_snapshot: bool) {
+        let absence = self.contact.borrow().absence(Instant::now());
+        let mut update = Update::default();
+        for change in &batch.changes {
+            update.targets.extend(self.apply_target(directory, change, absence, Source::Directory));
+        }
+        if is_snapshot {
+            self.retain(&batch.changes, absence, Source::Directory);
+            update = self.full_update();
+        }
+        self.next_targets.set(Some(batch.next));
+        self.set_filled();
+        self.publish(update);
+    }
+
+    /// Removes lapsed targets whose time to return has passed.
+    pub fn purge(&self) {
+        let purged = self.roster.borrow_mut().purge(Instant::now());
+        let removal = |change: &Change| Change { value: Bytes::new(), ..change.clone() };
+        let targets: Vec<Change> = purged.iter().map(removal).collect();
+        for change in &targets {
+            log::info!(target_id = &*change.key; "target did not return");
+        }
+        if !targets.is_empty() {
+            self.publish(Update { targets, ..Update::default() });
+        }
+    }
+
+    /// Takes over what the entry tells that reads the directory.
+    pub fn hear(&self, directory: &dyn Directory, update: &Update) {
+        if let Some(change) = &update.routes {
+            self.apply_table(directory, change, Source::Entry);
+        }
+        for change in &update.targets {
+            self.apply_target(directory, change, Absence::Gone, Source::Entry);
+        }
+        if update.complete {
+            self.retain(&update.targets, Absence::Gone, Source::Entry);
+        }
+        self.next_routes.set(self.next_routes.get().max(update.routes_next));
+        self.next_targets.set(self.next_targets.get().max(update.targets_next));
+        if let Some(age) = update.age {
+            let now = Instant::now();
+            self.sharing.knowledge.borrow_mut().hear(age, now);
+            self.contact.borrow_mut().hear(now.checked_sub(age));
+            self.set_filled();
+        }
+        self.publish(Update { complete: false, ..update.clone() });
+    }
+
+    /// Whether this entry reads the directory while the one that should knows too little.
+    pub fn reads_better(&self, told: Option<Duration>) -> bool {
+        let own = self.read.get().is_some_and(|read| read.elapsed() < STALE_AGE);
+        own && told.is_none_or(|age| age > STALE_AGE)
+    }
+
+    /// All that the entry knows.
+    pub fn full_update(&self) -> Update {
+        let update = Update {
+            complete: true,
+            routes: self.routes.borrow().clone(),
+            targets: self.roster.borrow().changes(),
+            ..Update::default()
+        };
+        self.complete(update)
+    }
+
+    fn publish(&self, update: Update) {
+        self.metrics.gauge("cornellink_targets", self.roster.borrow().len() as f64);
+        self.sharing.subscribers.publish(&self.complete(update));
+    }
+
+    /// Adds how far the entry has read, and how old its knowledge is.
+    fn complete(&self, update: Update) -> Update {
+        Update {
+            routes_next: self.next_routes.get(),
+            targets_next: self.next_targets.get(),
+            age: self.sharing.knowledge.borrow().age(Instant::now()),
+            ..update
+        }
+    }
+
+    /// Applies a change of the routes; returns whether they are in force now.
+    fn apply_table(&self, directory: &dyn Directory, change: &Change, source: Source) -> bool {
+        match directory.decode(Feed::Routes, change) {
+            Some(News::Routes(table)) => {
+                let in_force = self.set_table(table.clone());
+                if in_force {
+                    self.routes.replace(Some(change.clone()));
+                }
+                log::info!(
+                    version = table.version, offset = change.offset, routes = table.len(),
+                    source = source.name(), in_force;
+                    "routes received"
+                );
+                in_force
+            }
+            Some(News::Unusable(reason)) => {
+                log::warn!(offset = change.offset, reason = reason.as_str(); "routes refused");
+                false
+            }
+            Some(News::Target(_) | News::Removed) | None => false,
+        }
+    }
+
+    /// Applies a change of a target; returns the changes that others need to know.
+    fn apply_target(
+        &self,
+        directory: &dyn Directory,
+        change: &Change,
+        absence: Absence,
+        source: Source,
+    ) -> Vec<Change> {
+        let Some(news) = directory.decode(Feed::Targets, change) else { return Vec::new() };
+        let mut roster = self.roster.borrow_mut();
+        let last = roster.find(&change.key).map(|member| member.change.clone());
+        let effect = roster.apply(change, &news, absence, Instant::now());
+        tell(change, &effect, source);
+        match effect {
+            Effect::Unchanged | Effect::Lapsed => Vec::new(),
+            // The last report goes along, so that no older one can bring the target back.
+            Effect::Removed | Effect::Unusable(_) => {
+                last.into_iter().chain([change.clone()]).collect()
+            }
+            Effect::Added | Effect::Drains | Effect::Reborn | Effect::Returned => {
+                vec![change.clone()]
+            }
+        }
+    }
+
+    fn retain(&self, held: &[Change], absence: Absence, source: Source) {
+        let held: HashSet<Rc<str>> = held.iter().map(|change| change.key.clone()).collect();
+        for (id, effect) in self.roster.borrow_mut().retain(&held, absence) {
+            log::info!(target_id = &*id, effect:? = effect, source = source.name(); "target missing");
+        }
+    }
+}
+
+fn tell(change: &Change, effect: &Effect, source: Source) {
+    match effect {
+        Effect::Unchanged => {}
+        Effect::Unusable(reason) => {
+            log::warn!(
+                target_id = &*change.key, offset = change.offset, reason = reason.as_str();
+                "target refused"
+            );
+        }
+        _ => {
+            log::info!(
+                target_id = &*change.key, offset = change.offset, effect:? = effect,
+                source = source.name();
+                "target changed"
+            );
+        }
+    }
+}
--- a/src/process/gateway/contact.rs
+++ b/src/process/gateway/contact.rs
@@ -41,6 +41,11 @@
         Turn::Regained(away)
     }
 
+    /// Takes note of another entry's read that succeeded.
+    pub fn hear(&mut self, read: Option<Instant>) {
+        self.good = self.good.max(read);
+    }
+
     /// Takes note of a read that failed.
     pub fn fail(&mut self) -> Turn {
         match std::mem::replace(&mut self.failing, true) {
--- a/src/process/gateway/member.rs
+++ b/src/process/gateway/member.rs
@@ -2,6 +2,7 @@
 
 use super::reading::Reading;
 use super::trouble::Trouble;
+use crate::edge::directory::Change;
 use crate::prelude::*;
 use crate::process::pool::Pool;
 use crate::version::registration::{Registration, TargetState};
@@ -15,8 +16,8 @@
 pub struct Member {
     pub registration: Registration,
     pub pool: Rc<Pool>,
-    /// Offset of the newest report.
-    pub offset: u64,
+    /// The newest report, as the directory holds it.
+    pub change: Change,
     /// When the target works at full speed.
     pub warm: Instant,
     /// When the target counts as gone, if its entry lapsed while the directory was away.
@@ -29,13 +30,13 @@
 
 impl Member {
     /// A target that was just registered.
-    pub fn new(registration: Registration, offset: u64, connections: u32, now: Instant) -> Self {
+    pub fn new(registration: Registration, change: Change, connections: u32, now: Instant) -> Self {
         let pool = Rc::new(Pool::new(registration.address, connections));
         Self {
             warm: now + registration.warmup,
             registration,
             pool,
-            offset,
+            change,
             lapse: None,
             trouble: Trouble::default(),
             inflight: 0,
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! The gateway: an entry whose routes and targets come from a directory.
 
 pub mod admin;
+pub mod apply;
 pub mod choice;
 pub mod contact;
 pub mod follower;
@@ -13,6 +14,7 @@
 pub mod roster;
 pub mod run;
 pub mod settings;
+pub mod sharing;
 pub mod trouble;
 
 use rand::rngs::SmallRng;
@@ -23,10 +25,12 @@
 use self::retry_budget::RetryBudget;
 use self::roster::Roster;
 use self::settings::GatewaySettings;
+use self::sharing::Sharing;
 use super::observe::Metrics;
 use super::shutdown::Shutdown;
 use crate::connection::limits::Limits;
 use crate::connection::tasks::Tasks;
+use crate::edge::directory::Change;
 use crate::prelude::*;
 use crate::version::route_table::RouteTable;
 
@@ -47,6 +51,14 @@
     pub contact: RefCell<Contact>,
     /// Probes under way, which outlive the calls that asked for them.
     pub probes: Tasks,
+    pub sharing: Sharing,
+    /// The routes in force, as the directory holds them.
+    pub routes: RefCell<Option<Change>>,
+    /// Offsets from which each feed is read on; none if it must start with a snapshot.
+    pub next_routes: Cell<Option<u64>>,
+    pub next_targets: Cell<Option<u64>>,
+    /// Start of this entry's own last read of the targets that succeeded.
+    pub read: Cell<Option<Instant>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Whether the roster was filled once.
     filled: Cell<bool>,
@@ -67,6 +79,11 @@
             rng: RefCell::new(SmallRng::from_os_rng()),
             contact: RefCell::default(),
             probes: Tasks::default(),
+            sharing: Sharing::default(),
+            routes: RefCell::default(),
+            next_routes: Cell::default(),
+            next_targets: Cell::default(),
+            read: Cell::default(),
             table: RefCell::default(),
             filled: Cell::new(false),
         }
--- a/src/process/gateway/roster.rs
+++ b/src/process/gateway/roster.rs
@@ -76,6 +76,16 @@
         keys.iter().map(|key| (*key, &self.members[*key]))
     }
 
+    /// The target of that id.
+    pub fn find(&self, id: &str) -> Option<&Member> {
+        self.ids.get(id).map(|key| &self.members[*key])
+    }
+
+    /// The newest report of each target.
+    pub fn changes(&self) -> Vec<Change> {
+        self.members.values().map(|member| member.change.clone()).collect()
+    }
+
     /// Number of targets.
     pub fn len(&self) -> usize {
         self.members.len()
@@ -87,13 +97,18 @@
     }
 
     /// Applies one change.
-    pub fn apply(&mut self, change: &Change, absence: Absence, now: Instant) -> Effect {
-        let known = self.ids.get(&change.key).map(|key| self.members[*key].offset);
-        if known.is_some_and(|offset| change.offset < offset) {
+    pub fn apply(
+        &mut self,
+        change: &Change,
+        news: &News,
+        absence: Absence,
+        now: Instant,
+    ) -> Effect {
+        if self.find(&change.key).is_some_and(|member| change.offset < member.change.offset) {
             return Effect::Unchanged;
         }
-        match &change.news {
-            News::Target(registration) => self.report(registration, change.offset, now),
+        match news {
+            News::Target(registration) => self.report(registration, change, now),
             News::Removed => self.lose(&change.key, absence),
             News::Unusable(reason) => {
                 self.remove(&change.key);
@@ -111,24 +126,24 @@
     }
 
     /// Removes lapsed targets whose time to return has passed.
-    pub fn purge(&mut self, now: Instant) -> Vec<Rc<str>> {
+    pub fn purge(&mut self, now: Instant) -> Vec<Change> {
         let is_over = |member: &Member| member.lapse.is_some_and(|lapse| now >= lapse);
         let over = self.members.values().filter(|member| is_over(member));
-        let ids: Vec<Rc<str>> = over.map(|member| member.registration.id.clone()).collect();
-        for id in &ids {
-            self.remove(id);
+        let last: Vec<Change> = over.map(|member| member.change.clone()).collect();
+        for change in &last {
+            self.remove(&change.key);
         }
-        ids
+        last
     }
 
-    fn report(&mut self, registration: &Registration, offset: u64, now: Instant) -> Effect {
+    fn report(&mut self, registration: &Registration, change: &Change, now: Instant) -> Effect {
         let id = &registration.id;
         let Some(key) = self.ids.get(id).copied() else {
             let is_late = self.removed.get(id).is_some_and(|last| registration.order() <= *last);
             if is_late {
                 return Effect::Unchanged;
             }
-            self.add(registration.clone(), offset, now);
+            self.add(registration.clone(), change.clone(), now);
             return Effect::Added;
         };
         let member = &mut self.members[key];
@@ -141,12 +156,12 @@
             && registration.service == known.service;
         if !is_same {
             self.remove(id);
-            self.add(registration.clone(), offset, now);
+            self.add(registration.clone(), change.clone(), now);
             return Effect::Reborn;
         }
         let drains =
             known.state == TargetState::Ready && registration.state == TargetState::Draining;
-        member.offset = offset;
+        member.change = change.clone();
         member.warm = now + registration.warmup;
         member.registration = registration.clone();
         match (drains, member.lapse.take()) {
@@ -176,9 +191,9 @@
         }
     }
 
-    fn add(&mut self, registration: Registration, offset: u64, now: Instant) {
+    fn add(&mut self, registration: Registration, change: Change, now: Instant) {
         let (id, service) = (registration.id.clone(), registration.service.clone());
-        let key = self.members.insert(Member::new(registration, offset, self.connections, now));
+        let key = self.members.insert(Member::new(registration, change, self.connections, now));
         self.ids.insert(id, key);
         self.services.entry(service).or_default().push(key);
     }
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -3,10 +3,11 @@
 use super::naming::Naming;
 use super::reload;
 use super::settings::GatewaySettings;
+use super::sharing::{publish, subscribe};
 use super::{admin, follower, Gateway};
 use crate::connection::server;
 use crate::connection::tasks::Tasks;
-use crate::edge::directory::Directory;
+use crate::edge::directory::{Directory, Listing};
 use crate::prelude::*;
 use crate::process::callers::Callers;
 use crate::process::shutdown::{Hangups, Signals};
@@ -39,6 +40,11 @@
         let state = gateway.clone();
         background.spawn(server::serve(listener, move |call| admin::handle(state.clone(), call)));
     }
+    if let Some(listing) = listing(&gateway) {
+        let listener = server::bind(listing.address)?;
+        background.spawn(publish::serve(gateway.clone(), listener));
+        background.spawn(subscribe::run(gateway.clone(), directory.clone(), listing));
+    }
     background.spawn(follower::follow(gateway.clone(), directory));
     background.spawn(reload::watch(gateway.clone(), path, hangups));
     let state = gateway.clone();
@@ -56,6 +62,13 @@
     Ok(())
 }
 
+/// How this entry is listed, if it shares what it reads.
+fn listing(gateway: &Gateway) -> Option<Listing> {
+    let settings = gateway.settings.borrow();
+    let address = settings.share?;
+    Some(Listing { name: settings.name.clone(), domain: settings.domain.clone(), address })
+}
+
 fn callers(gateway: &Rc<Gateway>, listener: monoio::net::TcpListener) -> Callers {
     let settings = gateway.settings.borrow();
     let state = gateway.clone();
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -30,6 +30,10 @@
     pub ready: SocketAddr,
     /// Address for metrics and status.
     pub admin: SocketAddr,
+    /// Address at which other entries of the failure domain hear what this one reads from the
+    /// directory; without it every entry reads for itself.
+    #[serde(default)]
+    pub share: Option<SocketAddr>,
     /// Address of the directory.
     pub directory: SocketAddr,
     /// Most entries that run at a time.
@@ -58,6 +62,7 @@
         Field::required("listen", Kind::Listen),
         Field::required("ready", Kind::Listen),
         Field::required("admin", Kind::Listen),
+        Field::optional("share", Kind::Address),
         Field::required("directory", Kind::Address),
         Field::default("maxEntries", Kind::Integer { min: 1, max: 100_000 }, "16"),
         Field::default("retryRatio", Kind::Number { min: 0.0, max: 1.0 }, "0.1"),
@@ -103,7 +108,7 @@
 }
 
 fn check_listeners(root: &Part, report: &mut Report) {
-    let names = ["listen", "ready", "admin"];
+    let names = ["listen", "ready", "admin", "share"];
     for (index, name) in names.iter().enumerate() {
         let Some(address) = root.text(name).filter(|address| !address.ends_with(":0")) else {
             continue;
--- /dev/null
+++ b/src/process/gateway/sharing/knowledge.rs
@@ -0,0 +1,57 @@
+//! How old an entry's knowledge of the directory is.
+
+use super::STALE_AGE;
+use crate::edge::directory::Feed;
+use crate::prelude::*;
+
+/// Time that a read of the routes may wait for a change before its silence counts as age.
+const ROUTES_SLACK: Duration = Duration::from_millis(2700);
+/// Time after the start in which the entry waits for another one to share its knowledge.
+const START_PATIENCE: Duration = Duration::from_millis(250);
+
+/// The moments whose state of the directory the entry knows at least.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Knowledge {
+    routes: Option<Instant>,
+    targets: Option<Instant>,
+    started: Option<Instant>,
+}
+
+impl Knowledge {
+    /// Starts with nothing but the prospect of another entry's knowledge.
+    pub fn start(&mut self, now: Instant) {
+        self.started = Some(now);
+    }
+
+    /// Takes note that the entry knows the state of a feed at a moment.
+    pub fn learn(&mut self, feed: Feed, moment: Instant) {
+        let known = match feed {
+            Feed::Routes => &mut self.routes,
+            Feed::Targets => &mut self.targets,
+        };
+        *known = (*known).max(Some(moment));
+    }
+
+    /// The age of the knowledge, if there is any of both feeds.
+    pub fn age(&self, now: Instant) -> Option<Duration> {
+        let age = |moment: Instant| now.saturating_duration_since(moment);
+        let routes = age(self.routes?).saturating_sub(ROUTES_SLACK);
+        Some(routes.max(age(self.targets?)))
+    }
+
+    /// Takes note of another entry's knowledge of this age.
+    pub fn hear(&mut self, age: Duration, now: Instant) {
+        let Some(moment) = now.checked_sub(age) else { return };
+        self.learn(Feed::Routes, moment);
+        self.learn(Feed::Targets, moment);
+    }
+
+    /// How long the knowledge is still fresh.
+    pub fn rest(&self, now: Instant) -> Duration {
+        match (self.age(now), self.started) {
+            (Some(age), _) => STALE_AGE.saturating_sub(age),
+            (None, Some(started)) => (started + START_PATIENCE).saturating_duration_since(now),
+            (None, None) => Duration::ZERO,
+        }
+    }
+}
--- a/src/request/relayed.rs
+++ b/src/request/relayed.rs
@@ -60,7 +60,7 @@
     pub fn note_choice(&self, choice: &Choice, target: &str) {
         let now = Instant::now();
         let load = choice.reading.load;
-        let age = self.gateway.contact.borrow().age(now).unwrap_or_default();
+        let age = self.gateway.sharing.knowledge.borrow().age(now).unwrap_or_default();
         log::info!(
             call = self.id.as_str(), route = &*self.route.name, service = &*self.service,
             version = self.version, attempt = self.sends + 1, target_id = target,
@@ -78,7 +78,7 @@
     /// Logs a search that found no target.
     pub fn note_search(&self, gateway: &Gateway, code: Code, tried: usize) {
         let now = Instant::now();
-        let age = gateway.contact.borrow().age(now).unwrap_or_default();
+        let age = gateway.sharing.knowledge.borrow().age(now).unwrap_or_default();
         log::info!(
             call = self.id.as_str(), service = &*self.service, version = self.version,
             code = code.number(), tried, registered = gateway.roster.borrow().service(&self.service).count(),
