Keep targets when a reader knows nothing, and start from seeds while the store is away

A complete update counts only if it is as new as what the entry knows. An entry that starts while the store is away asks the seeds. A read of the routes that waited tells the state at its end, so subscribers no longer read beside the reader.

--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -21,7 +21,8 @@
 /// The server's side of one connection.
 pub struct CallerConnection {
     guard: Guard,
-    limits: Limits,
+    /// Bounds that may change while the connection is open.
+    limits: Rc<Cell<Limits>>,
     reusable: bool,
     head_only: bool,
 }
@@ -29,6 +30,11 @@
 impl CallerConnection {
     /// Wraps an accepted stream.
     pub fn new(stream: TcpStream, limits: Limits) -> Self {
+        Self::with_limits(stream, Rc::new(Cell::new(limits)))
+    }
+
+    /// Wraps an accepted stream whose bounds may change.
+    pub fn with_limits(stream: TcpStream, limits: Rc<Cell<Limits>>) -> Self {
         Self { guard: Guard::new(stream), limits, reusable: true, head_only: false }
     }
 
@@ -46,9 +52,18 @@
         if self.guard.unread() > 0 {
             return Ok(());
         }
-        match monoio::time::timeout(self.limits.idle_time, self.guard.fill()).await {
-            Err(_) | Ok(Err(_)) | Ok(Ok(0)) => Err(Fault::Closed),
-            Ok(Ok(_)) => Ok(()),
+        let start = Instant::now();
+        loop {
+            // The bound may have grown during the wait, and the caller relies on the newest one.
+            let left = self.limits.get().idle_time.saturating_sub(start.elapsed());
+            if left.is_zero() {
+                return Err(Fault::Closed);
+            }
+            match monoio::time::timeout(left, self.guard.fill()).await {
+                Err(_) => {}
+                Ok(Err(_) | Ok(0)) => return Err(Fault::Closed),
+                Ok(Ok(_)) => return Ok(()),
+            }
         }
     }
 
@@ -56,22 +71,28 @@
     pub async fn next(&mut self) -> std::result::Result<Call, Fault> {
         self.idle().await?;
         self.head_only = false;
-        let head = self.guard.head(&self.limits).await?;
+        let limits = self.limits.get();
+        let head = self.guard.head(&limits).await?;
         let framing = request_framing(&head)?;
         let head = decode_call(head)?;
         self.head_only = head.call.method == Method::HEAD;
         self.reusable &= !head.close;
         let mut call = head.call;
-        let body = read_body(&mut self.guard, framing, head.expects, &self.limits);
+        let body = read_body(&mut self.guard, framing, head.expects, &limits);
         call.body = match framing {
             Framing::Empty => Bytes::new(),
-            _ => monoio::time::timeout(self.limits.body_time, body)
+            _ => monoio::time::timeout(limits.body_time, body)
                 .await
                 .unwrap_or(Err(Fault::TooSlow))?,
         };
         Ok(call)
     }
 
+    /// Whether another call may follow.
+    pub fn is_reusable(&self) -> bool {
+        self.reusable
+    }
+
     /// Whether bytes of a next call have arrived.
     pub fn has_waiting(&self) -> bool {
         self.reusable && !self.guard.is_quiet()
@@ -80,7 +101,7 @@
     /// Resolves when the caller has closed the connection.
     pub async fn closed(&mut self) {
         loop {
-            if self.guard.unread() > self.limits.head_bytes {
+            if self.guard.unread() > self.limits.get().head_bytes {
                 // The caller sends its next calls; reading on would buffer them without a bound.
                 std::future::pending::<()>().await;
             }
@@ -98,7 +119,7 @@
             self.guard.write(head).await?;
             self.guard.write(body).await
         };
-        let result = monoio::time::timeout(self.limits.write_time, write).await;
+        let result = monoio::time::timeout(self.limits.get().write_time, write).await;
         self.guard.release();
         match result {
             Ok(Ok(())) => Ok(()),
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -29,7 +29,7 @@
 /// The listener for callers and its connections.
 pub struct Callers {
     pub listener: TcpListener,
-    /// Bounds of connections that are accepted from now on.
+    /// Bounds of the connections, which may change.
     pub limits: Rc<Cell<Limits>>,
     pub memory: Rc<Memory>,
     pub max_connections: usize,
@@ -117,7 +117,7 @@
             return;
         }
         let place = Place::new(self.open.clone());
-        let connection = CallerConnection::new(stream, self.limits.get());
+        let connection = CallerConnection::with_limits(stream, self.limits.clone());
         let connection = connection.count_in(self.memory.clone());
         let (shutdown, handler) = (self.shutdown.clone(), self.handler.clone());
         self.tasks.spawn(async move {
@@ -171,8 +171,12 @@
         if connection.answer(answer).await.is_err() {
             return;
         }
+        if !connection.is_reusable() {
+            return connection.close().await;
+        }
     }
-    connection.close().await;
+    // An idle connection ends at once. Reading on would take a call that crosses the end and
+    // leave it without an answer; a call that was not read may be sent again.
 }
 
 /// Waits for the next call; returns whether its first byte has arrived.
--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -75,7 +75,8 @@
         for change in &update.targets {
             self.apply_target(directory, change, Absence::Gone, Source::Entry);
         }
-        if update.complete {
+        // A reader that knows less than this entry cannot tell which targets are gone.
+        if update.complete && update.targets_next >= self.next_targets.get() {
             self.retain(&update.targets, Absence::Gone, Source::Entry);
         }
         self.next_routes.set(self.next_routes.get().max(update.routes_next));
@@ -95,10 +96,15 @@
         own && told.is_none_or(|age| age > STALE_AGE)
     }
 
+    /// Tells subscribers how old this entry's knowledge is, with nothing new.
+    pub fn tell_age(&self) {
+        self.publish(Update::default());
+    }
+
     /// All that the entry knows.
     pub fn full_update(&self) -> Update {
         let update = Update {
-            complete: true,
+            complete: self.filled.get(),
             routes: self.routes.borrow().clone(),
             targets: self.roster.borrow().changes(),
             ..Update::default()
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -18,8 +18,8 @@
 const TARGETS_PAUSE: Duration = Duration::from_millis(700);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Shortest wait of an entry that hears fresh news.
-const MIN_REST: Duration = Duration::from_millis(20);
+/// Time between two looks whether the news that another entry tells are still fresh.
+const REST_LOOK: Duration = Duration::from_millis(25);
 
 /// Follows both feeds until the task is dropped.
 pub async fn follow(gateway: Rc<Gateway>, directory: Rc<dyn Directory>) {
@@ -62,6 +62,7 @@
                     gateway.metrics.count("cornellink_directory_lost_total");
                 }
                 gateway.purge();
+                gateway.tell_age();
                 monoio::time::sleep(RETRY_PAUSE).await;
             }
         }
@@ -73,7 +74,6 @@
     loop {
         rest(gateway).await;
         let next = gateway.next_routes.get();
-        let start = Instant::now();
         let result = monoio::select! {
             result = read(directory, Feed::Routes, next) => result,
             // The read may be one that the directory lost in its outage.
@@ -89,7 +89,8 @@
                 if std::mem::take(&mut failing) {
                     log::info!(feed = "routes"; "directory regained");
                 }
-                gateway.sharing.knowledge.borrow_mut().learn(Feed::Routes, start);
+                // An answer that waited for a change tells the state at its end.
+                gateway.sharing.knowledge.borrow_mut().learn(Feed::Routes, Instant::now());
                 match result {
                     Read::Batch(batch) => gateway.apply_routes(directory, batch),
                     Read::Gap => {
@@ -115,7 +116,9 @@
         if rest.is_zero() {
             return;
         }
-        monoio::time::sleep(rest.max(MIN_REST)).await;
+        // The reader may change meanwhile, which is seen soon only while nothing is known.
+        let is_ready = gateway.is_ready();
+        monoio::time::sleep(if is_ready { rest.max(REST_LOOK) } else { REST_LOOK }).await;
     }
 }
 
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -11,6 +11,8 @@
 
 /// Longest time that can be stated, one hour in milliseconds.
 const MAX_TIME_MS: u64 = 3_600_000;
+/// Most seeds.
+const MAX_SEEDS: usize = 64;
 /// Time before the end of the grace period by which the process has ended.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 /// Part of the grace period in which new calls are still taken.
@@ -34,6 +36,8 @@
     /// directory; without it every entry reads for itself.
     #[serde(default)]
     pub share: Option<SocketAddr>,
+    /// Addresses at which other entries share, for a start while the directory is away.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the directory.
     pub directory: SocketAddr,
     /// Most entries that run at a time.
@@ -63,6 +67,7 @@
         Field::required("ready", Kind::Listen),
         Field::required("admin", Kind::Listen),
         Field::optional("share", Kind::Address),
+        Field::default("seeds", Kind::List { of: &Kind::Address, min: 0, max: MAX_SEEDS }, "[]"),
         Field::required("directory", Kind::Address),
         Field::default("maxEntries", Kind::Integer { min: 1, max: 100_000 }, "16"),
         Field::default("retryRatio", Kind::Number { min: 0.0, max: 1.0 }, "0.1"),
--- a/src/process/gateway/sharing/order.rs
+++ b/src/process/gateway/sharing/order.rs
@@ -14,12 +14,32 @@
 #[derive(Debug, Default)]
 pub struct Order {
     entries: Vec<Listing>,
+    listed: bool,
     failed: HashMap<String, Instant>,
 }
 
 impl Order {
+    /// Starts with addresses at which entries may be found while the list cannot be read.
+    pub fn set_seeds(&mut self, own: &Listing, seeds: &[SocketAddr]) {
+        let seeds = seeds.iter().filter(|seed| **seed != own.address);
+        self.entries = seeds
+            .map(|seed| Listing {
+                name: seed.to_string(),
+                domain: own.domain.clone(),
+                address: *seed,
+            })
+            .collect();
+        self.entries.push(own.clone());
+    }
+
+    /// Whether the list was read.
+    pub fn is_listed(&self) -> bool {
+        self.listed
+    }
+
     /// Takes over a list; entries of other domains do not matter.
     pub fn set(&mut self, own: &Listing, listings: Vec<Listing>) {
+        self.listed = true;
         self.entries = listings;
         self.entries.retain(|entry| entry.domain == own.domain && entry.name != own.name);
         self.entries.push(own.clone());
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -6,7 +6,7 @@
 
 use super::order::Order;
 use super::update::{Update, FORMAT};
-use super::{Reader, STALE_AGE};
+use super::Reader;
 use crate::edge::directory::{Directory, Listing};
 use crate::prelude::*;
 use crate::process::gateway::Gateway;
@@ -22,11 +22,18 @@
 const LIST_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause after the list could not be read.
 const LIST_PAUSE: Duration = Duration::from_secs(1);
+/// Time from the start to the first look at the list, without which the seeds are asked.
+const FIRST_LOOK: Duration = Duration::from_millis(100);
+/// Time for which a seed is followed before the list is looked at again.
+const SEED_TIME: Duration = Duration::from_secs(2);
+/// Silence after which a reader is given up.
+const SILENCE: Duration = Duration::from_millis(2500);
 
 /// Follows the entry that reads, or lets this entry read, until the task is dropped.
 pub async fn run(gateway: Rc<Gateway>, directory: Rc<dyn Directory>, own: Listing) {
     let order = RefCell::new(Order::default());
-    order.borrow_mut().set(&own, Vec::new());
+    let seeds = gateway.settings.borrow().seeds.clone();
+    order.borrow_mut().set_seeds(&own, &seeds);
     gateway.sharing.knowledge.borrow_mut().start(Instant::now());
     gateway.sharing.set_reader(Reader::Other(String::new()));
     let listing = keep_list(&gateway, &*directory, &own, &order);
@@ -58,7 +65,6 @@
             }
             Err(error) => {
                 log::debug!(error:% = error; "cannot read the list of entries");
-                gateway.sharing.listed.close();
                 monoio::time::sleep(LIST_PAUSE).await;
             }
         }
@@ -71,7 +77,7 @@
     own: &Listing,
     order: &RefCell<Order>,
 ) {
-    let _ = gateway.sharing.listed.acquire().await;
+    let _ = monoio::time::timeout(FIRST_LOOK, gateway.sharing.listed.acquire()).await;
     loop {
         let first = order.borrow().first(Instant::now()).cloned();
         match first.filter(|first| first.name != own.name) {
@@ -80,7 +86,10 @@
                 monoio::time::sleep(LOOK).await;
             }
             Some(first) => {
-                let until = order.borrow().next_try(&first.name);
+                let until = match order.borrow().is_listed() {
+                    true => order.borrow().next_try(&first.name),
+                    false => Some(Instant::now() + SEED_TIME),
+                };
                 let ended = subscribe(gateway, directory, &first, until).await;
                 if let Ended::Failed(reason) = ended {
                     log::info!(reader = first.name.as_str(), reason; "reader given up");
@@ -114,7 +123,7 @@
     };
     gateway.sharing.set_reader(Reader::Other(reader.name.clone()));
     loop {
-        match monoio::time::timeout(STALE_AGE, Update::read(&mut stream)).await {
+        match monoio::time::timeout(SILENCE, Update::read(&mut stream)).await {
             Err(_) => return Ended::Failed("silent"),
             Ok(Err(_)) => return Ended::Failed("connection lost"),
             Ok(Ok(update)) => {
