--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,169 @@
+//! Which targets are asked, and which answer wins.
+
+mod fixture;
+
+use std::collections::HashSet;
+
+use cornellink::prelude::*;
+use cornellink::process::gateway::choice::{cost, to_ask, Candidate};
+use cornellink::process::gateway::member::MemberKey;
+use cornellink::process::gateway::reading::{Load, Reading};
+use cornellink::process::gateway::roster::Roster;
+use fixture::registry::{anywhere, eligible, key_of, member, report};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+
+fn fleet(near: usize, far: usize) -> Roster {
+    let mut roster = Roster::new(4);
+    for number in 0..near + far {
+        let mut target = anywhere(&format!("t{number}"));
+        target.domain = if number < near { "a".into() } else { "b".into() };
+        report(&mut roster, number as u64, &target);
+    }
+    roster
+}
+
+fn candidates(roster: &Roster, entry: &str) -> Vec<Candidate> {
+    let now = Instant::now();
+    let members = roster.service("s");
+    members.map(|(key, member)| Candidate::new(key, member, entry, "a", now)).collect()
+}
+
+fn asked(candidates: &[Candidate]) -> HashSet<MemberKey> {
+    let mut rng = SmallRng::seed_from_u64(7);
+    let rounds = (0..500).flat_map(|_| to_ask(candidates.to_vec(), &mut rng));
+    rounds.collect()
+}
+
+fn reading(load: &str) -> Reading {
+    Reading { taken: Instant::now(), load: Load::parse(load), healthy: true }
+}
+
+/// Guards against calls across failure domains while the own one has targets.
+#[test]
+fn near_targets_are_asked_first() {
+    let roster = fleet(4, 8);
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    let keys = to_ask(candidates(&roster, "entry"), &mut rng);
+
+    let near = |key: &&MemberKey| &*roster.get(**key).unwrap().registration.domain == "a";
+    assert_eq!((keys.len(), keys.iter().filter(near).count()), (5, 3));
+    assert!(keys[..3].iter().all(|key| near(&key)));
+}
+
+/// Guards against a domain without targets that gets no service.
+#[test]
+fn far_targets_stand_in_for_missing_near_ones() {
+    let roster = fleet(0, 8);
+    let mut rng = SmallRng::seed_from_u64(1);
+
+    assert_eq!(to_ask(candidates(&roster, "entry"), &mut rng).len(), 5);
+}
+
+/// Guards against connections of every entry to every target in a large fleet.
+#[test]
+fn entry_uses_few_targets_of_a_large_service() {
+    let roster = fleet(40, 80);
+
+    let used = asked(&candidates(&roster, "entry"));
+
+    assert_eq!(used.len(), 12);
+}
+
+/// Guards against a change of one target that moves the connections to many others.
+#[test]
+fn used_targets_stay_when_another_one_leaves() {
+    let roster = fleet(40, 80);
+    let all = candidates(&roster, "entry");
+    let before = asked(&all);
+    let left = key_of(&roster, "s", "t3");
+    let rest: Vec<Candidate> = all.into_iter().filter(|one| one.key != left).collect();
+
+    let after = asked(&rest);
+
+    assert!(before.intersection(&after).count() >= 11);
+    assert_eq!(eligible(&roster, "s").len(), 120);
+}
+
+/// Guards against all entries of a large fleet that use the same few targets.
+#[test]
+fn entries_spread_over_the_targets() {
+    let roster = fleet(40, 0);
+
+    let used: HashSet<MemberKey> = (0..16)
+        .flat_map(|number| asked(&candidates(&roster, &format!("entry-{number}"))))
+        .collect();
+
+    assert!(used.len() >= 38, "{}", used.len());
+}
+
+/// Guards against targets that failed lately and are asked beside sound ones.
+#[test]
+fn doubtful_targets_are_asked_only_for_want_of_others() {
+    let mut roster = fleet(3, 0);
+    let now = Instant::now();
+    for id in ["t0", "t1"] {
+        let key = key_of(&roster, "s", id);
+        roster.get_mut(key).unwrap().trouble.fail(now);
+    }
+    let sound = asked(&candidates(&roster, "entry"));
+    let last = key_of(&roster, "s", "t2");
+    roster.get_mut(last).unwrap().trouble.fail(now);
+    let all = asked(&candidates(&roster, "entry"));
+
+    assert_eq!((sound, all.len()), ([last].into(), 3));
+}
+
+/// Guards against a choice by counts alone while a third of the targets works five times slower.
+#[test]
+fn slow_target_loses_to_a_busier_fast_one() {
+    let now = Instant::now();
+    let (slow, fast) = (member(anywhere("slow")), member(anywhere("fast")));
+
+    let slow = cost(&slow, &reading("0,0,6,500"), "a", now);
+    let fast = cost(&fast, &reading("3,0,6,100"), "a", now);
+
+    assert!(fast < slow);
+}
+
+/// Guards against calls that cross domains for a small gain, and against ones that never do.
+#[test]
+fn far_target_must_be_clearly_better() {
+    let now = Instant::now();
+    let near = member(anywhere("near"));
+    let mut far = anywhere("far");
+    far.domain = "b".into();
+    let far = member(far);
+    let at = |member, load| cost(member, &reading(load), "a", now);
+
+    assert!(at(&near, "1,0,6,110") < at(&far, "0,0,6,100"));
+    assert!(at(&far, "0,0,6,100") < at(&near, "0,0,6,300"));
+}
+
+/// Guards against the exclusion of targets whose health check is wrong.
+#[test]
+fn target_that_calls_itself_unhealthy_is_the_last_choice() {
+    let now = Instant::now();
+    let target = member(anywhere("one"));
+    let mut ill = reading("0,0,6,100");
+    ill.healthy = false;
+
+    let (ill, slow) =
+        (cost(&target, &ill, "a", now), cost(&target, &reading("6,0,6,500"), "a", now));
+
+    assert!(ill.is_finite() && ill > slow);
+}
+
+/// Guards against load headers that are misread.
+#[test]
+fn load_is_read_with_and_without_a_pace() {
+    let whole = Load::parse("3, 1,8,250").unwrap();
+    let short = Load::parse("3,1,8").unwrap();
+
+    assert_eq!((whole.running, whole.waiting, whole.slots, whole.pace), (3, 1, 8, 250));
+    assert_eq!(short.pace, 100);
+    assert_eq!(Load::parse("3,x,8"), None);
+    assert!(Load::parse("8,9,8,100").unwrap().is_full());
+    assert!(!Load::parse("8,3,8,100").unwrap().is_full());
+}
--- /dev/null
+++ b/tests/knowledge.rs
@@ -0,0 +1,101 @@
+//! How old an entry's knowledge is, and what an absence means.
+
+use cornellink::edge::directory::Feed;
+use cornellink::prelude::*;
+use cornellink::process::gateway::contact::{Contact, Turn};
+use cornellink::process::gateway::roster::Absence;
+use cornellink::process::gateway::sharing::knowledge::Knowledge;
+use cornellink::process::gateway::sharing::STALE_AGE;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against a subscriber that goes on with old knowledge when its reader falls silent.
+#[test]
+fn silence_makes_knowledge_stale() {
+    let mut knowledge = Knowledge::default();
+    let now = Instant::now() + ms(60_000);
+    knowledge.hear(ms(200), now);
+
+    let fresh = knowledge.rest(now + ms(500));
+    let stale = knowledge.rest(now + STALE_AGE);
+
+    assert_eq!((fresh, stale), (STALE_AGE - ms(700), Duration::ZERO));
+}
+
+/// Guards against a reader cut off from the directory whose updates pass as fresh.
+#[test]
+fn heard_age_counts() {
+    let mut knowledge = Knowledge::default();
+    let now = Instant::now() + ms(60_000);
+
+    knowledge.hear(STALE_AGE + ms(1), now);
+
+    assert_eq!(knowledge.rest(now), Duration::ZERO);
+}
+
+/// Guards against targets that look fresh while the routes' feed has failed for long.
+#[test]
+fn both_feeds_must_be_fresh() {
+    let mut knowledge = Knowledge::default();
+    let start = Instant::now();
+    knowledge.learn(Feed::Routes, start);
+    let later = start + ms(10_000);
+    knowledge.learn(Feed::Targets, later);
+
+    assert!(knowledge.age(later).unwrap() > STALE_AGE);
+}
+
+/// Guards against an old update that makes knowledge look older or newer than it is.
+#[test]
+fn older_news_do_not_replace_newer_ones() {
+    let mut knowledge = Knowledge::default();
+    let now = Instant::now() + ms(60_000);
+    knowledge.hear(ms(100), now);
+    knowledge.hear(ms(900), now);
+
+    assert_eq!(knowledge.age(now), Some(ms(100)));
+}
+
+/// Guards against entries that read at once at a common start instead of waiting for the reader.
+#[test]
+fn start_waits_for_another_entry_for_a_short_time() {
+    let mut knowledge = Knowledge::default();
+    let now = Instant::now();
+    knowledge.start(now);
+
+    assert!(knowledge.rest(now) > Duration::ZERO);
+    assert_eq!(knowledge.rest(now + ms(300)), Duration::ZERO);
+}
+
+/// Guards against lapsed entries that count as gone before their targets could renew them, and
+/// against ones that are believed for longer.
+#[test]
+fn absence_after_an_outage_waits_two_seconds() {
+    let mut contact = Contact::default();
+    let start = Instant::now();
+    contact.succeed(start);
+    assert_eq!(contact.fail(), Turn::Lost);
+    assert_eq!(contact.fail(), Turn::None);
+    let back = start + ms(5000);
+
+    let turn = contact.succeed(back);
+
+    assert_eq!(turn, Turn::Regained(ms(5000)));
+    assert_eq!(contact.absence(back), Absence::MayReturn(back + ms(2000)));
+    assert_eq!(contact.absence(back + ms(2000)), Absence::Gone);
+}
+
+/// Guards against a short failure that delays the removal of targets.
+#[test]
+fn short_failure_changes_nothing() {
+    let mut contact = Contact::default();
+    let start = Instant::now();
+    contact.succeed(start);
+    contact.fail();
+
+    contact.succeed(start + ms(300));
+
+    assert_eq!(contact.absence(start + ms(300)), Absence::Gone);
+}
--- /dev/null
+++ b/tests/retry_budget.rs
@@ -0,0 +1,84 @@
+//! The budget of repeats, which entries keep together without agreement.
+
+use cornellink::prelude::*;
+use cornellink::process::gateway::retry_budget::RetryBudget;
+use quickcheck::quickcheck;
+
+const RATIO: f64 = 0.2;
+const WINDOW: Duration = Duration::from_secs(10);
+/// Repeats that the entries have together beside the ratio, with a few entries.
+const SLACK: f64 = 58.0;
+
+/// What an entry does at one moment.
+#[derive(Clone, Copy)]
+enum Event {
+    Call,
+    Repeat,
+}
+
+fn event(byte: u8) -> Event {
+    match byte % 3 {
+        0 => Event::Call,
+        _ => Event::Repeat,
+    }
+}
+
+quickcheck! {
+    /// No window holds more repeats than its calls allow, however the calls spread over entries.
+    fn any_window_keeps_the_ratio(events: Vec<(u8, u8, u8)>) -> bool {
+        let start = Instant::now();
+        let service: Rc<str> = "s".into();
+        let mut entries: Vec<RetryBudget> =
+            (0..16).map(|_| RetryBudget::new(RATIO, WINDOW)).collect();
+        let (mut calls, mut repeats) = (Vec::new(), Vec::new());
+        let mut now = start;
+        for (entry, kind, gap) in events {
+            now += Duration::from_millis(u64::from(gap) * 4);
+            let budget = &mut entries[usize::from(entry % 16)];
+            match event(kind) {
+                Event::Call => {
+                    budget.call(&service, now);
+                    calls.push(now);
+                }
+                Event::Repeat if budget.spend(&service, now) => repeats.push(now),
+                Event::Repeat => {}
+            }
+        }
+        repeats.iter().all(|end| {
+            let is_in = |time: &&Instant| **time <= *end && **time + WINDOW > *end;
+            let (calls, repeats) = (calls.iter().filter(is_in), repeats.iter().filter(is_in));
+            repeats.count() as f64 <= RATIO * calls.count() as f64 + SLACK
+        })
+    }
+}
+
+/// Guards against a flood of refused calls that are all sent again.
+#[test]
+fn shedding_service_gets_few_repeats() {
+    let mut budget = RetryBudget::new(RATIO, WINDOW);
+    let service: Rc<str> = "s".into();
+    let start = Instant::now();
+
+    let mut spent = 0;
+    for number in 0..1000 {
+        let now = start + Duration::from_millis(number);
+        budget.call(&service, now);
+        spent += u32::from(budget.spend(&service, now));
+    }
+
+    assert!((100..=200).contains(&spent), "{spent}");
+}
+
+/// Guards against repeats of one service that use up those of another.
+#[test]
+fn services_have_budgets_of_their_own() {
+    let mut budget = RetryBudget::new(RATIO, WINDOW);
+    let (one, other): (Rc<str>, Rc<str>) = ("one".into(), "other".into());
+    let now = Instant::now();
+
+    let first = budget.spend(&one, now);
+    let second = budget.spend(&one, now);
+    let elsewhere = budget.spend(&other, now);
+
+    assert_eq!((first, second, elsewhere), (true, false, true));
+}
