--- a/src/process/gateway/probing.rs
+++ b/src/process/gateway/probing.rs
@@ -32,9 +32,9 @@
     pub heard: usize,
 }
 
-/// What became of the search for a target.
-pub enum Search {
-    Found(Choice),
+/// Why no target was found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
     /// All targets that answered are full.
     Full,
     /// No target is registered that may get the call.
@@ -58,25 +58,25 @@
     probe_path: &str,
     tried: &[MemberKey],
     deadline: Deadline,
-) -> Search {
+) -> Result<Choice, Miss> {
     let mut passed = tried.to_vec();
-    let mut outcome = Search::NoTarget;
+    let mut miss = Miss::NoTarget;
     for _ in 0..ROUNDS {
         let keys = candidates(gateway, service, &passed);
         if keys.is_empty() {
-            return outcome;
+            return Err(miss);
         }
         let left = deadline.left(Instant::now());
         if left.is_zero() {
-            return Search::Expired;
+            return Err(Miss::Expired);
         }
-        outcome = match ask(gateway, &keys, probe_path, left).await {
-            Search::Found(choice) => return Search::Found(choice),
-            other => other,
+        miss = match ask(gateway, &keys, probe_path, left).await {
+            Ok(choice) => return Ok(choice),
+            Err(miss) => miss,
         };
         passed.extend(keys);
     }
-    outcome
+    Err(miss)
 }
 
 fn candidates(gateway: &Gateway, service: &str, passed: &[MemberKey]) -> Vec<MemberKey> {
@@ -91,7 +91,12 @@
 }
 
 /// Asks targets and takes the best of those that answer in time.
-async fn ask(gateway: &Rc<Gateway>, keys: &[MemberKey], path: &str, left: Duration) -> Search {
+async fn ask(
+    gateway: &Rc<Gateway>,
+    keys: &[MemberKey],
+    path: &str,
+    left: Duration,
+) -> Result<Choice, Miss> {
     let (sender, mut receiver) = unbounded::channel();
     for key in keys {
         gateway.probes.spawn(probe(gateway.clone(), *key, path.to_owned(), sender.clone()));
@@ -116,10 +121,10 @@
     }
     match best {
         Some((_, Heard { key, reading, lease })) => {
-            Search::Found(Choice { key, lease, reading, asked: keys.len(), heard })
+            Ok(Choice { key, lease, reading, asked: keys.len(), heard })
         }
-        None if heard > 0 => Search::Full,
-        None => Search::Silent,
+        None if heard > 0 => Err(Miss::Full),
+        None => Err(Miss::Silent),
     }
 }
 
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -4,7 +4,7 @@
 use super::relayed::{Ended, Relayed};
 use crate::prelude::*;
 use crate::process::gateway::member::MemberKey;
-use crate::process::gateway::probing::{search, Choice, Search};
+use crate::process::gateway::probing::{search, Choice, Miss};
 use crate::process::gateway::Gateway;
 use crate::request::relay_attempt::send;
 
@@ -110,11 +110,11 @@
     let found =
         search(gateway, &relayed.service, &relayed.probe_path, tried, relayed.deadline).await;
     let code = match found {
-        Search::Found(choice) => return Ok(choice),
-        Search::Full => Code::NotRunQueueFull,
-        Search::NoTarget => Code::NotRunNoTarget,
-        Search::Silent => Code::NotRunConnect,
-        Search::Expired => Code::NotRunDeadline,
+        Ok(choice) => return Ok(choice),
+        Err(Miss::Full) => Code::NotRunQueueFull,
+        Err(Miss::NoTarget) => Code::NotRunNoTarget,
+        Err(Miss::Silent) => Code::NotRunConnect,
+        Err(Miss::Expired) => Code::NotRunDeadline,
     };
     relayed.note_search(gateway, code, tried.len());
     Err(code)
