--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -7,6 +7,8 @@
 pub mod follower;
 pub mod member;
 pub mod naming;
+pub mod overload;
+pub mod probe_budget;
 pub mod probing;
 pub mod reading;
 pub mod reload;
@@ -16,16 +18,19 @@
 pub mod settings;
 pub mod sharing;
 pub mod trouble;
+pub mod usual;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use self::contact::Contact;
 use self::naming::Naming;
+use self::probe_budget::ProbeBudget;
 use self::retry_budget::RetryBudget;
 use self::roster::Roster;
 use self::settings::GatewaySettings;
 use self::sharing::Sharing;
+use self::usual::Usual;
 use super::observe::Metrics;
 use super::shutdown::Shutdown;
 use crate::connection::limits::Limits;
@@ -44,6 +49,9 @@
     pub metrics: Metrics,
     pub roster: RefCell<Roster>,
     pub retries: RefCell<RetryBudget>,
+    pub probe_budget: RefCell<ProbeBudget>,
+    /// Usual durations of each route's calls.
+    pub usual: RefCell<Usual>,
     pub shutdown: Rc<Shutdown>,
     pub limits: Rc<Cell<Limits>>,
     pub rng: RefCell<SmallRng>,
@@ -74,6 +82,8 @@
             metrics: Metrics::default(),
             roster: RefCell::new(Roster::new(TARGET_CONNECTIONS)),
             retries: RefCell::new(retries),
+            probe_budget: RefCell::new(ProbeBudget::new(Instant::now())),
+            usual: RefCell::default(),
             shutdown: Rc::default(),
             limits: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
@@ -108,6 +118,7 @@
             ..self.limits.get()
         });
         self.metrics.gauge("cornellink_revision", table.version as f64);
+        self.usual.borrow_mut().retain(|name| table.has_route(name));
         self.table.replace(Some(table));
         true
     }
@@ -122,6 +133,15 @@
         self.table.borrow().is_some() && self.filled.get() && !self.shutdown.is_requested()
     }
 
+    /// How many of `wanted` probes the budget allows.
+    pub fn grant_probes(&self, wanted: usize, now: Instant) -> usize {
+        let settings = self.settings.borrow();
+        let entries = self.sharing.entries.get().unwrap_or(settings.max_entries as usize);
+        let targets = self.roster.borrow().len();
+        let mut budget = self.probe_budget.borrow_mut();
+        budget.take(wanted, settings.probes, targets, entries, now)
+    }
+
     /// A random share of a time, so that callers do not return together.
     pub fn spread(&self, span: Duration) -> Duration {
         span.mul_f64(self.rng.borrow_mut().random_range(0.5..1.5))
--- /dev/null
+++ b/src/process/gateway/overload.rs
@@ -0,0 +1,96 @@
+//! Who is sent, who waits and who is refused when targets are scarce.
+//!
+//! A call that cannot have a free target at a usual pace looks again for a short time instead of
+//! joining the queue of one target, which may turn slow: whichever target becomes free first takes
+//! it. The longer a call has waited, the less it asks for. A call that cannot end in time is
+//! refused at once, so that its caller can come back elsewhere and the targets work for others.
+
+use crate::prelude::*;
+
+/// Part of a route's objective that a call may spend looking for a target.
+const PATIENCE_PART: f64 = 0.3;
+/// Highest cost of a free target that a call takes at once.
+const GOOD_COST: f64 = 2.0;
+/// How much that cost grows over the time for looking.
+const CONCESSION: f64 = 2.0;
+/// Highest cost of a target with a queue, at the end of the time for looking.
+const QUEUE_COST: f64 = 3.0;
+/// Rounds of a target's slots that the most urgent calls may find ahead of them.
+const MAX_QUEUE: f64 = 1.0;
+/// Part of a stretched duration that counts, as slow phases are shorter than slow calls.
+const STRETCH_PART: f64 = 0.6;
+
+/// The best target that answered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Offer {
+    /// Cost of a call there, in units of its usual duration.
+    pub cost: f64,
+    /// Calls ahead, in rounds of the target's slots.
+    pub queue: f64,
+}
+
+/// What is known when a call has asked some targets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Situation {
+    pub offer: Option<Offer>,
+    /// Time since the call arrived.
+    pub waited: Duration,
+    /// Time within which a response is of full use.
+    pub objective: Duration,
+    /// Time until the deadline.
+    pub left: Duration,
+    /// Usual duration of such a call, if it is known.
+    pub usual: Option<Duration>,
+    /// Routes of the service that are more urgent.
+    pub rank: u32,
+}
+
+/// What the call does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Send,
+    /// Ask other targets, or the same ones again.
+    Look,
+    /// No target can be hoped for in time.
+    Refuse,
+}
+
+impl Situation {
+    /// Decides.
+    pub fn decide(&self) -> Verdict {
+        let patience = self.patience();
+        let is_over = self.waited >= patience;
+        let Some(offer) = self.offer else {
+            return if is_over { Verdict::Refuse } else { Verdict::Look };
+        };
+        if !self.ends_in_time(&offer) || offer.queue > self.max_queue() {
+            return if is_over { Verdict::Refuse } else { Verdict::Look };
+        }
+        let spent = (self.waited.as_secs_f64() / patience.as_secs_f64().max(f64::EPSILON)).min(1.0);
+        let limit = match offer.queue > 0.0 {
+            true => QUEUE_COST * spent,
+            false => GOOD_COST + CONCESSION * spent,
+        };
+        if is_over || offer.cost <= limit {
+            Verdict::Send
+        } else {
+            Verdict::Look
+        }
+    }
+
+    /// Time that the call may spend looking for a target.
+    fn patience(&self) -> Duration {
+        let spare = self.left.saturating_sub(self.usual.unwrap_or_default()) / 2;
+        self.objective.mul_f64(PATIENCE_PART).min(spare)
+    }
+
+    fn ends_in_time(&self, offer: &Offer) -> bool {
+        let stretch = 1.0 + (offer.cost - 1.0).max(0.0) * STRETCH_PART;
+        self.usual.is_none_or(|usual| usual.mul_f64(stretch) <= self.left)
+    }
+
+    /// Less urgent calls leave the end of the queue to more urgent ones.
+    fn max_queue(&self) -> f64 {
+        MAX_QUEUE / f64::from(1 + self.rank)
+    }
+}
--- a/src/process/gateway/probing.rs
+++ b/src/process/gateway/probing.rs
@@ -4,18 +4,19 @@
 
 use super::choice::{cost, to_ask, Candidate};
 use super::member::MemberKey;
+use super::overload::{Offer, Verdict};
 use super::reading::{Load, Reading};
 use super::Gateway;
 use crate::prelude::*;
 use crate::process::pool::{Lease, Pool};
-use crate::request::deadline::Deadline;
+use crate::request::relayed::Relayed;
 
 /// Wait for further answers once a usable one has come.
 const PATIENCE: Duration = Duration::from_millis(10);
 /// Longest wait for a target's answer.
 const ANSWER_TIME: Duration = Duration::from_millis(60);
-/// Rounds of questions for one call.
-const ROUNDS: u32 = 3;
+/// Pause before targets are asked again.
+const PAUSE: Duration = Duration::from_millis(12);
 /// Cost at which no better target is looked for.
 const GOOD_COST: f64 = 1.25;
 
@@ -35,7 +36,7 @@
 /// Why no target was found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Miss {
-    /// All targets that answered are full.
+    /// The targets that answered have no room in time.
     Full,
     /// No target is registered that may get the call.
     NoTarget,
@@ -51,32 +52,60 @@
     lease: Lease,
 }
 
-/// Finds a target of a service that is not among `tried`.
+/// A target with its cost.
+struct Best {
+    offer: Offer,
+    heard: Heard,
+}
+
+/// What a round of questions found.
+struct Round {
+    best: Option<Best>,
+    asked: usize,
+    heard: usize,
+}
+
+/// Finds a target for a call that is not among `tried`.
 pub async fn search(
     gateway: &Rc<Gateway>,
-    service: &str,
-    probe_path: &str,
+    relayed: &Relayed,
     tried: &[MemberKey],
-    deadline: Deadline,
 ) -> Result<Choice, Miss> {
     let mut passed = tried.to_vec();
     let mut miss = Miss::NoTarget;
-    for _ in 0..ROUNDS {
-        let keys = candidates(gateway, service, &passed);
-        if keys.is_empty() {
-            return Err(miss);
-        }
-        let left = deadline.left(Instant::now());
+    loop {
+        let now = Instant::now();
+        let left = relayed.deadline.left(now);
         if left.is_zero() {
             return Err(Miss::Expired);
         }
-        miss = match ask(gateway, &keys, probe_path, left).await {
-            Ok(choice) => return Ok(choice),
-            Err(miss) => miss,
-        };
-        passed.extend(keys);
+        let keys = candidates(gateway, &relayed.service, &passed);
+        if keys.is_empty() {
+            if passed.len() == tried.len() {
+                return Err(miss);
+            }
+            // All targets were asked; one of them may be free by now.
+            passed.truncate(tried.len());
+            monoio::time::sleep(gateway.spread(PAUSE).min(left)).await;
+            continue;
+        }
+        let Round { best, asked, heard } = ask(gateway, &keys, &relayed.probe_path, left).await;
+        if heard > 0 {
+            miss = Miss::Full;
+        } else if miss == Miss::NoTarget {
+            miss = Miss::Silent;
+        }
+        match relayed.situation(best.as_ref().map(|best| best.offer)).decide() {
+            Verdict::Refuse => return Err(miss),
+            Verdict::Look => passed.extend(keys),
+            Verdict::Send => {
+                let Some(Best { heard: Heard { key, reading, lease }, .. }) = best else {
+                    return Err(miss);
+                };
+                return Ok(Choice { key, lease, reading, asked, heard });
+            }
+        }
     }
-    Err(miss)
 }
 
 fn candidates(gateway: &Gateway, service: &str, passed: &[MemberKey]) -> Vec<MemberKey> {
@@ -87,16 +116,15 @@
         .filter(|(key, member)| member.is_eligible(now) && !passed.contains(key));
     let candidates = members
         .map(|(key, member)| Candidate::new(key, member, &settings.name, &settings.domain, now));
-    to_ask(candidates.collect(), &mut *gateway.rng.borrow_mut())
+    let mut keys = to_ask(candidates.collect(), &mut *gateway.rng.borrow_mut());
+    drop(settings);
+    drop(roster);
+    keys.truncate(gateway.grant_probes(keys.len(), now));
+    keys
 }
 
 /// Asks targets and takes the best of those that answer in time.
-async fn ask(
-    gateway: &Rc<Gateway>,
-    keys: &[MemberKey],
-    path: &str,
-    left: Duration,
-) -> Result<Choice, Miss> {
+async fn ask(gateway: &Rc<Gateway>, keys: &[MemberKey], path: &str, left: Duration) -> Round {
     let (sender, mut receiver) = unbounded::channel();
     for key in keys {
         gateway.probes.spawn(probe(gateway.clone(), *key, path.to_owned(), sender.clone()));
@@ -104,39 +132,32 @@
     drop(sender);
     let start = Instant::now();
     let limit = ANSWER_TIME.min(left);
-    let mut best: Option<(f64, Heard)> = None;
-    let mut heard = 0;
+    let mut round = Round { best: None, asked: keys.len(), heard: 0 };
     loop {
-        let wait = if best.is_some() { PATIENCE } else { limit };
+        let wait = if round.best.is_some() { PATIENCE } else { limit };
         let wait = wait.saturating_sub(start.elapsed());
-        let Ok(Some(answer)) = monoio::time::timeout(wait, receiver.recv()).await else { break };
-        heard += 1;
-        let Some(cost) = judge(gateway, &answer) else { continue };
-        if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
-            best = Some((cost, answer));
+        let Ok(Some(heard)) = monoio::time::timeout(wait, receiver.recv()).await else { break };
+        round.heard += 1;
+        let Some(offer) = judge(gateway, &heard) else { continue };
+        if round.best.as_ref().is_none_or(|best| offer.cost < best.offer.cost) {
+            round.best = Some(Best { offer, heard });
         }
-        if cost <= GOOD_COST {
+        if offer.cost <= GOOD_COST {
             break;
         }
     }
-    match best {
-        Some((_, Heard { key, reading, lease })) => {
-            Ok(Choice { key, lease, reading, asked: keys.len(), heard })
-        }
-        None if heard > 0 => Err(Miss::Full),
-        None => Err(Miss::Silent),
-    }
+    round
 }
 
-/// The cost of a target that may be used.
-fn judge(gateway: &Gateway, heard: &Heard) -> Option<f64> {
-    if heard.reading.load.is_some_and(|load| load.is_full()) {
-        return None;
-    }
+/// What a target offers that may be used.
+fn judge(gateway: &Gateway, heard: &Heard) -> Option<Offer> {
     let now = Instant::now();
     let roster = gateway.roster.borrow();
     let member = roster.get(heard.key).filter(|member| member.is_eligible(now))?;
-    Some(cost(member, &heard.reading, &gateway.settings.borrow().domain, now))
+    Some(Offer {
+        cost: cost(member, &heard.reading, &gateway.settings.borrow().domain, now),
+        queue: heard.reading.load.map_or(0.0, |load| load.queue()),
+    })
 }
 
 /// Asks one target; the connection is kept even if nobody waits for the answer any more.
--- a/src/process/gateway/reading.rs
+++ b/src/process/gateway/reading.rs
@@ -38,13 +38,8 @@
         pace * (crowding + self.queue())
     }
 
-    /// Whether a further call would wait beyond one round of the target's slots.
-    pub fn is_full(&self) -> bool {
-        self.queue() > 1.0
-    }
-
     /// Calls ahead of a further one in rounds of the target's slots.
-    fn queue(&self) -> f64 {
+    pub fn queue(&self) -> f64 {
         let ahead = (self.running + self.waiting + 1).saturating_sub(self.slots);
         f64::from(ahead) / f64::from(self.slots)
     }
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -35,6 +35,8 @@
     pub reader: RefCell<Reader>,
     pub knowledge: RefCell<Knowledge>,
     pub subscribers: Subscribers,
+    /// Number of listed entries of all domains, if the list was read.
+    pub entries: Cell<Option<usize>>,
     /// Closed once the list of entries was read, or could not be.
     pub listed: Semaphore,
 }
@@ -45,6 +47,7 @@
             reader: RefCell::default(),
             knowledge: RefCell::default(),
             subscribers: Subscribers::default(),
+            entries: Cell::default(),
             listed: Semaphore::new(0),
         }
     }
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -53,6 +53,8 @@
         match directory.listings().await {
             Ok(listings) => {
                 let is_listed = listings.contains(own);
+                let others = listings.iter().filter(|listing| listing.name != own.name).count();
+                gateway.sharing.entries.set(Some(1 + others));
                 order.borrow_mut().set(own, listings);
                 gateway.sharing.listed.close();
                 if !is_listed {
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -107,9 +107,7 @@
     relayed: &mut Relayed,
     tried: &[MemberKey],
 ) -> Result<Choice, Code> {
-    let found =
-        search(gateway, &relayed.service, &relayed.probe_path, tried, relayed.deadline).await;
-    let code = match found {
+    let code = match search(gateway, relayed, tried).await {
         Ok(choice) => return Ok(choice),
         Err(Miss::Full) => Code::NotRunQueueFull,
         Err(Miss::NoTarget) => Code::NotRunNoTarget,
--- a/src/request/relay_attempt.rs
+++ b/src/request/relay_attempt.rs
@@ -21,6 +21,7 @@
         return Attempt::NotSent(Code::NotRunNoTarget);
     };
     relayed.note_choice(&choice, &place.id);
+    let stretch = choice.reading.load.map_or(1.0, |load| load.stretch());
     let left = relayed.deadline.left(Instant::now());
     if left.is_zero() {
         return Attempt::NotSent(Code::NotRunDeadline);
@@ -49,6 +50,9 @@
         Ok(Err(Lost { fault, sent })) => lost(&place, fault, sent),
         Ok(Ok(answer)) => judge(gateway, relayed, &place, answer),
     };
+    if matches!(&attempt, Attempt::Answered(answer) if answer.status.is_success()) {
+        gateway.usual.borrow_mut().add(&relayed.route.name, start.elapsed(), stretch);
+    }
     if !has_sent {
         relayed.sends -= 1;
     }
--- a/src/request/relayed.rs
+++ b/src/request/relayed.rs
@@ -1,6 +1,7 @@
 //! A call on its way along a route.
 
 use crate::prelude::*;
+use crate::process::gateway::overload::{Offer, Situation};
 use crate::process::gateway::probing::Choice;
 use crate::process::gateway::Gateway;
 use crate::version::route::Route;
@@ -26,6 +27,8 @@
     pub version: u64,
     pub arrived: Instant,
     pub deadline: Deadline,
+    /// Priorities among the service's routes that are more urgent.
+    pub rank: u32,
     /// Attempts in which a byte of the call may have left.
     pub sends: u32,
     gateway: Rc<Gateway>,
@@ -44,18 +47,32 @@
         let left = left.map_or(MAX_DEADLINE, Duration::from_millis);
         Ok(Self {
             id: call.header(gateway.naming.call_id).unwrap_or_default().to_owned(),
-            service,
             probe_path: plan.probe_path.clone(),
             version: table.version,
             arrived: now,
             deadline: Deadline::after(now, left.min(route.timeout)),
+            rank: table.rank(&service, route.priority),
             sends: 0,
             gateway: gateway.clone(),
             has_ended: false,
+            service,
             route,
         })
     }
 
+    /// What is known when the best target that answered offers this.
+    pub fn situation(&self, offer: Option<Offer>) -> Situation {
+        let now = Instant::now();
+        Situation {
+            offer,
+            waited: now.saturating_duration_since(self.arrived),
+            objective: self.route.objective,
+            left: self.deadline.left(now),
+            usual: self.gateway.usual.borrow().get(&self.route.name),
+            rank: self.rank,
+        }
+    }
+
     /// Logs the choice of a target.
     pub fn note_choice(&self, choice: &Choice, target: &str) {
         let now = Instant::now();
--- a/src/version/route_table.rs
+++ b/src/version/route_table.rs
@@ -31,6 +31,8 @@
     pub bounds: CallerBounds,
     hosts: HashMap<String, Vec<Rc<Route>>>,
     services: HashMap<Rc<str>, ServicePlan>,
+    /// The different priorities of each service's routes.
+    priorities: HashMap<Rc<str>, Vec<u32>>,
 }
 
 impl RouteTable {
@@ -42,8 +44,15 @@
         routes: Vec<Route>,
     ) -> Result<Self> {
         let mut hosts: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
+        let mut priorities: HashMap<Rc<str>, Vec<u32>> = HashMap::new();
         for route in routes {
             check(&route, &services)?;
+            for share in route.shares.iter().filter(|share| share.weight > 0) {
+                let known = priorities.entry(share.service.clone()).or_default();
+                if !known.contains(&route.priority) {
+                    known.push(route.priority);
+                }
+            }
             let host = hosts.entry(route.host.to_ascii_lowercase()).or_default();
             if host.iter().any(|other| other.prefix == route.prefix) {
                 return Err(refuse(&route, "has the host and the prefix of another route"));
@@ -53,7 +62,7 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self { version, bounds, hosts, services })
+        Ok(Self { version, bounds, hosts, services, priorities })
     }
 
     /// The route with the longest prefix of the path among those of the host.
@@ -67,6 +76,17 @@
         self.services.get(name)
     }
 
+    /// Whether there is a route of that name.
+    pub fn has_route(&self, name: &str) -> bool {
+        self.hosts.values().flatten().any(|route| &*route.name == name)
+    }
+
+    /// Number of priorities of a service's routes that are more urgent than `priority`.
+    pub fn rank(&self, service: &str, priority: u32) -> u32 {
+        let urgent = self.priorities.get(service).map_or(&[][..], Vec::as_slice);
+        urgent.iter().filter(|other| **other < priority).count() as u32
+    }
+
     /// Number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -164,6 +164,7 @@
     assert_eq!((whole.running, whole.waiting, whole.slots, whole.pace), (3, 1, 8, 250));
     assert_eq!(short.pace, 100);
     assert_eq!(Load::parse("3,x,8"), None);
-    assert!(Load::parse("8,9,8,100").unwrap().is_full());
-    assert!(!Load::parse("8,3,8,100").unwrap().is_full());
+    assert!(Load::parse("8,9,8,100").unwrap().queue() > 1.0);
+    assert!(Load::parse("8,3,8,100").unwrap().queue() <= 1.0);
+    assert_eq!(Load::parse("7,0,8,100").unwrap().queue(), 0.0);
 }
