Wait in the store for changes of targets, and do not read while entries start together

Cause: heartbeats do not appear in the feed, so reads came back empty after 300 ms every 700 ms, and each entry read for itself until it had seen the others' listings.

--- a/src/edge/directory.rs
+++ b/src/edge/directory.rs
@@ -13,12 +13,12 @@
 }
 
 impl Feed {
-    /// Longest wait of one read. Targets report all the time, so a read of theirs hardly waits,
-    /// and one that does tells of a lost connection soon.
+    /// Longest wait of one read. A lost connection shows only behind it, and a target that leaves
+    /// must be seen sooner than new routes.
     pub fn longest_wait(self) -> Duration {
         match self {
             Self::Routes => Duration::from_millis(2000),
-            Self::Targets => Duration::from_millis(300),
+            Self::Targets => Duration::from_millis(900),
         }
     }
 
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -14,8 +14,9 @@
 use crate::edge::directory::{Directory, Feed, Read};
 use crate::prelude::*;
 
-/// Time between two reads of the targets' feed, in which a draining target may get calls.
-const TARGETS_PAUSE: Duration = Duration::from_millis(700);
+/// Shortest time between two reads of the targets' feed when it changes all the time. A draining
+/// target may get calls for as long.
+const TARGETS_PAUSE: Duration = Duration::from_millis(400);
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Time between two looks whether the news that another entry tells are still fresh.
@@ -36,14 +37,15 @@
         let next = gateway.next_targets.get();
         match read(directory, Feed::Targets, next).await {
             Ok(result) => {
+                // An answer that waited for a change tells the state at its end.
                 let now = Instant::now();
                 let turn = gateway.contact.borrow_mut().succeed(now);
                 if let Turn::Regained(away) = turn {
                     log::info!(feed = "targets", away_ms = away.as_millis() as u64; "directory regained");
                     regained.add_permits(1);
                 }
-                gateway.read.set(Some(start));
-                gateway.sharing.knowledge.borrow_mut().learn(Feed::Targets, start);
+                gateway.read.set(Some(now));
+                gateway.sharing.knowledge.borrow_mut().learn(Feed::Targets, now);
                 match result {
                     Read::Batch(batch) => {
                         gateway.apply_targets(directory, batch, next.is_none());
@@ -89,7 +91,6 @@
                 if std::mem::take(&mut failing) {
                     log::info!(feed = "routes"; "directory regained");
                 }
-                // An answer that waited for a change tells the state at its end.
                 gateway.sharing.knowledge.borrow_mut().learn(Feed::Routes, Instant::now());
                 match result {
                     Read::Batch(batch) => gateway.apply_routes(directory, batch),
--- a/src/process/gateway/sharing/knowledge.rs
+++ b/src/process/gateway/sharing/knowledge.rs
@@ -7,7 +7,7 @@
 /// Time that a read of the routes may wait for a change before its silence counts as age.
 const ROUTES_SLACK: Duration = Duration::from_millis(2700);
 /// Time after the start in which the entry waits for another one to share its knowledge.
-const START_PATIENCE: Duration = Duration::from_millis(250);
+const START_PATIENCE: Duration = Duration::from_millis(900);
 
 /// The moments whose state of the directory the entry knows at least.
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -37,7 +37,9 @@
     pub subscribers: Subscribers,
     /// Number of listed entries of all domains, if the list was read.
     pub entries: Cell<Option<usize>>,
-    /// Closed once the list of entries was read, or could not be.
+    /// Closed once the directory has answered about the list.
+    pub heard: Semaphore,
+    /// Closed once the list holds the entries that started together with this one.
     pub listed: Semaphore,
 }
 
@@ -48,6 +50,7 @@
             knowledge: RefCell::default(),
             subscribers: Subscribers::default(),
             entries: Cell::default(),
+            heard: Semaphore::new(0),
             listed: Semaphore::new(0),
         }
     }
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -15,14 +15,13 @@
 const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Pause between two looks whether another entry should read.
 const LOOK: Duration = Duration::from_millis(500);
-/// Time from the start to the second look at the list, when entries that started together have
-/// all been listed.
-const SECOND_LOOK: Duration = Duration::from_secs(4);
+/// Time after which entries that started together have all been listed.
+const JOIN_PAUSE: Duration = Duration::from_millis(600);
 /// Time between two further looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause after the list could not be read.
 const LIST_PAUSE: Duration = Duration::from_secs(1);
-/// Time from the start to the first look at the list, without which the seeds are asked.
+/// Time for the first answer about the list, without which the seeds are asked.
 const FIRST_LOOK: Duration = Duration::from_millis(100);
 /// Time for which a seed is followed before the list is looked at again.
 const SEED_TIME: Duration = Duration::from_secs(2);
@@ -48,28 +47,34 @@
     own: &Listing,
     order: &RefCell<Order>,
 ) {
-    let mut pause = SECOND_LOOK;
+    let mut is_new = false;
     loop {
-        match directory.listings().await {
+        let pause = match directory.listings().await {
             Ok(listings) => {
+                gateway.sharing.heard.close();
                 let is_listed = listings.contains(own);
-                let others = listings.iter().filter(|listing| listing.name != own.name).count();
-                gateway.sharing.entries.set(Some(1 + others));
-                order.borrow_mut().set(own, listings);
-                gateway.sharing.listed.close();
                 if !is_listed {
                     // A lost answer is noticed at the next look.
                     let _ = directory.list(own).await;
                 }
-                let spread = gateway.rng.borrow_mut().random_range(0.8..1.2);
-                monoio::time::sleep(pause.mul_f64(spread)).await;
-                pause = LIST_INTERVAL;
+                if !is_listed && !std::mem::replace(&mut is_new, true) {
+                    // Entries that start together do not see each other yet.
+                    JOIN_PAUSE
+                } else {
+                    let others = listings.iter().filter(|listing| listing.name != own.name);
+                    gateway.sharing.entries.set(Some(1 + others.count()));
+                    order.borrow_mut().set(own, listings);
+                    gateway.sharing.listed.close();
+                    LIST_INTERVAL
+                }
             }
             Err(error) => {
                 log::debug!(error:% = error; "cannot read the list of entries");
-                monoio::time::sleep(LIST_PAUSE).await;
+                LIST_PAUSE
             }
-        }
+        };
+        let spread = gateway.rng.borrow_mut().random_range(1.0..1.2);
+        monoio::time::sleep(pause.mul_f64(spread)).await;
     }
 }
 
@@ -79,7 +84,10 @@
     own: &Listing,
     order: &RefCell<Order>,
 ) {
-    let _ = monoio::time::timeout(FIRST_LOOK, gateway.sharing.listed.acquire()).await;
+    let heard = monoio::time::timeout(FIRST_LOOK, gateway.sharing.heard.acquire()).await;
+    if heard.is_ok() {
+        let _ = monoio::time::timeout(JOIN_PAUSE * 2, gateway.sharing.listed.acquire()).await;
+    }
     loop {
         let first = order.borrow().first(Instant::now()).cloned();
         match first.filter(|first| first.name != own.name) {
@@ -124,14 +132,17 @@
         return Ended::Failed("no connection");
     };
     gateway.sharing.set_reader(Reader::Other(reader.name.clone()));
+    let start = Instant::now();
     loop {
         match monoio::time::timeout(SILENCE, Update::read(&mut stream)).await {
             Err(_) => return Ended::Failed("silent"),
             Ok(Err(_)) => return Ended::Failed("connection lost"),
             Ok(Ok(update)) => {
                 gateway.hear(directory, &update);
-                // A reader that the directory refuses tells that it knows less and less.
-                if gateway.reads_better(update.age) {
+                // A reader that the directory refuses tells that it knows less and less. One that
+                // knows nothing has perhaps just started.
+                let is_telling = update.age.is_some() || start.elapsed() > SILENCE;
+                if is_telling && gateway.reads_better(update.age) {
                     return Ended::Failed("stale");
                 }
             }
