--- a/src/command/check.rs
+++ b/src/command/check.rs
@@ -5,6 +5,7 @@
 use super::exit::{self, Exit};
 use super::{options, Result};
 use crate::prelude::*;
+use crate::process::gateway::settings::GatewaySettings;
 use crate::process::settings::Settings;
 use crate::version::overlay::Overlay;
 use crate::version::parse::parse;
@@ -15,15 +16,20 @@
         Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
     };
     Command::new("check")
-        .about("Checks a document, an overlay or an entry's settings and lists every problem")
+        .about("Checks a document, an overlay or settings and lists every problem")
         .arg(Arg::new("file").required(true).help("Path of the file"))
         .arg(flag("overlay", "The file is an overlay for `promote`").conflicts_with("settings"))
         .arg(flag("settings", "The file holds the settings of an entry"))
+        .arg(
+            flag("gateway", "The file holds the settings of a gateway")
+                .conflicts_with_all(["settings", "overlay"]),
+        )
         .arg(options::json())
         .after_help(format!(
             "Examples:\n  cornellink check examples/hungary.jsonc\n  \
              cornellink check --overlay examples/production/hungary.jsonc\n  \
              cornellink check --settings examples/settings/entry.jsonc\n  \
+             cornellink check --gateway examples/settings/gateway.jsonc\n  \
              cornellink check --json examples/ebro.jsonc | jq '.problems[].path'\n\n{}",
             exit::HELP
         ))
@@ -35,6 +41,8 @@
     let text = options::read_file(path)?;
     let outcome = if matches.get_flag("settings") {
         Settings::parse(&text).map(|settings| format!("settings of `{}`", settings.name))
+    } else if matches.get_flag("gateway") {
+        GatewaySettings::parse(&text).map(|settings| format!("settings of `{}`", settings.name))
     } else if matches.get_flag("overlay") {
         Overlay::parse(&text).map(|overlay| format!("overlay for `{}`", overlay.environment))
     } else {
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -29,14 +29,17 @@
     let (signals, hangups) = (Signals::catch()?, Hangups::catch()?);
     let listener = server::bind(settings.listen)?;
     let ready = server::bind(settings.ready)?;
-    let admin = server::bind(settings.admin)?;
+    // Callers are served even if nobody can look at the metrics.
+    let admin = server::bind(settings.admin)
+        .inspect_err(|error| log::error!(error:% = error; "metrics are not served"))
+        .ok();
     let gateway = Rc::new(Gateway::new(settings, naming));
     log::info!(
         name = gateway.settings.borrow().name.as_str(), version = env!("CARGO_PKG_VERSION");
         "entry started"
     );
     let background = Tasks::default();
-    for listener in [ready, admin] {
+    for listener in [Some(ready), admin].into_iter().flatten() {
         let state = gateway.clone();
         background.spawn(server::serve(listener, move |call| admin::handle(state.clone(), call)));
     }
--- a/src/process/logging.rs
+++ b/src/process/logging.rs
@@ -48,9 +48,10 @@
 
 impl<'kvs> VisitSource<'kvs> for Line {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
-        let value = match value.to_u64() {
-            Some(number) => number.into(),
-            None => value.to_string().into(),
+        let value = match (value.to_u64(), value.to_bool()) {
+            (Some(number), _) => number.into(),
+            (None, Some(flag)) => flag.into(),
+            (None, None) => value.to_string().into(),
         };
         self.fields.insert(key.as_str().into(), value);
         Ok(())
--- /dev/null
+++ b/tests/gateway_settings.rs
@@ -0,0 +1,36 @@
+//! The settings of a gateway.
+
+mod fixture;
+
+use cornellink::process::gateway::settings::GatewaySettings;
+use fixture::gateway::settings;
+
+const SETTINGS: &str = include_str!("../examples/settings/gateway.jsonc");
+
+/// Guards against settings that are accepted and fail later.
+#[test]
+fn unusable_settings_name_their_place() {
+    let cases = [
+        ("\"ready\": \"10.1.1.5:8081\"", "\"ready\": \"10.1.1.5:8080\"", "no other listener"),
+        ("\"retryRatio\": 0.2", "\"retryRatio\": 2", "a number from 0 to 1"),
+        ("\"graceMs\": 6000", "\"graceMs\": 0", "a whole number from 1"),
+        ("\"probes\": 60", "\"probe\": 60", "did you mean `probes`?"),
+        ("\"directory\": \"10.1.0.2:7000\"", "\"directory\": \"store\"", "an address and port"),
+    ];
+    for (good, bad, expected) in cases {
+        let text = SETTINGS.replace(good, bad);
+
+        let error = GatewaySettings::parse(&text).unwrap_err().to_string();
+
+        assert!(error.contains(expected), "{error}");
+    }
+}
+
+/// Guards against a process that is killed at the end of its grace period while it answers.
+#[test]
+fn end_lies_within_the_grace_period() {
+    let settings = settings("entry-1", None);
+
+    assert!(settings.accept_time() < settings.end_time());
+    assert!(settings.end_time().as_millis() < 2000);
+}
