--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -17,6 +17,9 @@
 const GATEWAYS: usize = 4;
 const BACK_ENDS: usize = 5;
 
+/// Every answer of this number is lost.
+const LOST_ANSWER: usize = 40;
+
 /// What a step does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fault {
@@ -148,7 +151,8 @@
 
     fn add_back_end(&mut self) {
         let work = Duration::from_millis(self.rng.random_range(5..60));
-        let back_end = BackEnd::start(&format!("i-{}", self.back_ends.len()), work);
+        let id = format!("i-{}", self.back_ends.len());
+        let back_end = BackEnd::start_lossy(&id, work, LOST_ANSWER);
         self.store.put("keyed.servers", &back_end.id, &back_end.entry("ready", 1));
         self.back_ends.push(back_end);
     }
