--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -26,6 +26,8 @@
     pub ended: Instant,
     /// Status of the answer; none if the connection ended without one.
     pub status: Option<u16>,
+    /// The entry's own result code, if it gave one.
+    pub code: Option<String>,
     /// Whether the answer named another call.
     pub foreign: bool,
 }
@@ -74,6 +76,7 @@
             sent,
             ended: Instant::now(),
             status: head.map(status),
+            code: head.and_then(|head| field(head, "cornellink-code")).map(Into::into),
             foreign: head
                 .is_some_and(|head| field(head, "x-attempt-id").is_some_and(|named| named != id)),
             id,
--- a/soak/src/verdict.rs
+++ b/soak/src/verdict.rs
@@ -32,7 +32,10 @@
             Some(200) if !ran => {
                 findings.push(format!("`{}` was answered and did not run", call.id))
             }
-            Some(404) => findings.push(format!("`{}` was denied", call.id)),
+            Some(404) => findings.push(format!(
+                "`{}` was denied by `{}` with code {:?}",
+                call.id, call.front, call.code
+            )),
             None if ran && !was_disturbed(call, stage) => {
                 findings.push(format!("`{}` ran and was cut without a kill", call.id));
             }
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 
-use monoio::net::{TcpListener, TcpStream};
+use monoio::net::{ListenerOpts, TcpListener, TcpStream};
 
 use super::caller::CallerConnection;
 use super::limits::Limits;
@@ -11,8 +11,13 @@
 use crate::prelude::*;
 
 /// Binds a listener; port 0 picks a free port.
+///
+/// A port has one listener. The runtime's default lets several processes share one, and callers
+/// would reach either of them.
 pub fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|source| Error::Bind { address, source })
+    let options = ListenerOpts::new().reuse_port(false);
+    TcpListener::bind_with_config(address, &options)
+        .map_err(|source| Error::Bind { address, source })
 }
 
 /// Serves connections, one task for each; dropping the future stops all of them.
--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -118,7 +118,7 @@
     }
 
     /// Adds how far the entry has read, and how old its knowledge is.
-    fn complete(&self, update: Update) -> Update {
+    pub fn complete(&self, update: Update) -> Update {
         Update {
             routes_next: self.next_routes.get(),
             targets_next: self.next_targets.get(),
--- a/src/process/gateway/sharing/publish.rs
+++ b/src/process/gateway/sharing/publish.rs
@@ -20,6 +20,9 @@
 #[derive(Default)]
 pub struct Subscribers {
     queues: RefCell<Vec<Queue>>,
+    /// All that the entry knows, as a message that subscribers share until something changes. It
+    /// states no age, which would be out of date.
+    full: RefCell<Option<Bytes>>,
 }
 
 struct Queue {
@@ -40,6 +43,9 @@
 
     /// Queues an update for all subscribers.
     pub fn publish(&self, update: &Update) {
+        if update.has_changes() {
+            self.full.take();
+        }
         if self.is_empty() {
             return;
         }
@@ -50,11 +56,19 @@
         });
     }
 
-    fn add(&self, first: &Update) -> (Rx<Bytes>, Rc<Cell<usize>>) {
+    fn add(&self, full: impl Fn() -> Update, age: &Update) -> (Rx<Bytes>, Rc<Cell<usize>>) {
+        let full = self
+            .full
+            .borrow_mut()
+            .get_or_insert_with(|| Update { age: None, ..full() }.encode())
+            .clone();
         let (sender, receiver) = unbounded::channel();
-        let waiting = Rc::new(Cell::new(1));
-        // The receiver lives, so that the first message cannot be refused.
-        let _ = sender.send(first.encode());
+        let first = [full, age.encode()];
+        let waiting = Rc::new(Cell::new(first.len()));
+        for message in first {
+            // The receiver lives, so that no message can be refused.
+            let _ = sender.send(message);
+        }
         self.queues.borrow_mut().push(Queue { sender, waiting: waiting.clone() });
         (receiver, waiting)
     }
@@ -79,7 +93,8 @@
         log::warn!(format = byte[0]; "subscriber refused");
         return;
     }
-    let (mut messages, waiting) = gateway.sharing.subscribers.add(&gateway.full_update());
+    let (full, age) = (|| gateway.full_update(), gateway.complete(Update::default()));
+    let (mut messages, waiting) = gateway.sharing.subscribers.add(full, &age);
     while let Some(message) = messages.recv().await {
         waiting.set(waiting.get() - 1);
         let written = monoio::time::timeout(PEER_TIME, stream.write_all(message)).await;
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -22,7 +22,7 @@
 /// Pause after the list could not be read.
 const LIST_PAUSE: Duration = Duration::from_secs(1);
 /// Time for the first answer about the list, without which the seeds are asked.
-const FIRST_LOOK: Duration = Duration::from_millis(100);
+const FIRST_LOOK: Duration = Duration::from_millis(300);
 /// Time for which a seed is followed before the list is looked at again.
 const SEED_TIME: Duration = Duration::from_secs(2);
 /// Silence after which a reader is given up.
--- a/src/process/gateway/sharing/update.rs
+++ b/src/process/gateway/sharing/update.rs
@@ -88,6 +88,11 @@
 }
 
 impl Update {
+    /// Whether the update says more than its age.
+    pub fn has_changes(&self) -> bool {
+        self.complete || self.routes.is_some() || !self.targets.is_empty()
+    }
+
     /// The message.
     pub fn encode(&self) -> Bytes {
         let wire = UpdateWire::from(self);
