Read the gateway's code as a newcomer: names, one import of the entry less, connection limits used

The callers no longer import the entry, so that the gateway does not either. A pool's limit follows what a target takes from all entries. Constants of the same name in two modules are told apart. A load counts at least the entry's own calls.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -20,6 +20,10 @@
 /// Every answer of this number is lost.
 const LOST_ANSWER: usize = 40;
 
+/// Calm times around a drain, so that its bound holds.
+pub const CALM_BEFORE: Duration = Duration::from_millis(1500);
+const CALM_AFTER: Duration = Duration::from_millis(3500);
+
 /// What a step does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fault {
@@ -193,7 +197,9 @@
         let left = (0..self.back_ends.len() - 1).find(|number| !drained.contains(number));
         let Some(number) = left else { return };
         let back_end = &self.back_ends[number];
+        thread::sleep(CALM_BEFORE);
         self.store.put("keyed.servers", &back_end.id, &back_end.entry("draining", 2));
         self.drained.push((number, Instant::now()));
+        thread::sleep(CALM_AFTER);
     }
 }
--- a/soak/src/verdict.rs
+++ b/soak/src/verdict.rs
@@ -4,13 +4,10 @@
 use std::time::Duration;
 
 use crate::callers::Call;
-use crate::faults::Stage;
+use crate::faults::{Stage, CALM_BEFORE};
 
 /// Time in which a draining back end may still get calls, while nothing else is out of order.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
-/// Time after a disturbance in which bounds do not hold.
-const CALM: Duration = Duration::from_secs(3);
-
 /// The promises that were broken.
 pub fn judge(calls: &[Call], stage: &Stage) -> Vec<String> {
     let mut runs: HashMap<String, u32> = HashMap::new();
@@ -60,7 +57,7 @@
     for (number, since) in &stage.drained {
         let back_end = &stage.back_ends[*number];
         for (id, at) in back_end.runs() {
-            let from = since.checked_sub(CALM).unwrap_or(*since);
+            let from = since.checked_sub(CALM_BEFORE).unwrap_or(*since);
             let disturbed = stage.disturbed.iter().map(|(_, span)| span);
             let is_calm = !disturbed.chain(&stage.away).any(|span| span.overlaps(from, at));
             if at > *since + DRAIN_TIME && is_calm {
--- a/src/process/callers.rs
+++ b/src/process/callers.rs
@@ -5,7 +5,6 @@
 
 use monoio::net::{TcpListener, TcpStream};
 
-use super::entry::Entry;
 use super::shutdown::Shutdown;
 use crate::connection::caller::CallerConnection;
 use crate::connection::fault::Fault;
@@ -14,7 +13,6 @@
 use crate::connection::memory::Memory;
 use crate::connection::tasks::Tasks;
 use crate::prelude::*;
-use crate::request::dispatch;
 
 /// Connections beyond the limit that are told so before they are closed.
 const REFUSAL_ROOM: usize = 64;
@@ -44,27 +42,6 @@
 }
 
 impl Callers {
-    /// Creates the state for a bound listener of an entry.
-    pub fn new(entry: Rc<Entry>, listener: TcpListener) -> Self {
-        let (settings, times) = (&entry.settings.callers, &entry.settings.shutdown);
-        let state = entry.clone();
-        Self {
-            listener,
-            limits: Rc::new(Cell::new(Limits::from(settings))),
-            memory: Rc::new(Memory::new(settings.memory_limit)),
-            max_connections: settings.max_connections,
-            delay: Duration::from_millis(times.delay_ms),
-            limit: Duration::from_millis(times.limit_ms),
-            shutdown: entry.shutdown.clone(),
-            handler: Rc::new(move |call| {
-                let entry = state.clone();
-                Box::pin(async move { dispatch::dispatch(&entry, call).await })
-            }),
-            open: Rc::default(),
-            tasks: Tasks::default(),
-        }
-    }
-
     /// Serves until a requested shutdown is complete.
     pub async fn serve(self) {
         monoio::select! {
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -17,6 +17,8 @@
 use super::shutdown::{Shutdown, Signals};
 use super::watch;
 use super::Result;
+use crate::connection::limits::Limits;
+use crate::connection::memory::Memory;
 use crate::connection::server;
 use crate::connection::tasks::Tasks;
 use crate::edge::http_log::HttpLog;
@@ -24,7 +26,7 @@
 use crate::edge::log::Log;
 use crate::edge::vms::Vms;
 use crate::prelude::*;
-use crate::request::holder;
+use crate::request::{dispatch, holder};
 use crate::version::record::ConfigRecord;
 use crate::version::revision::Revision;
 
@@ -146,7 +148,7 @@
     background.spawn(server::serve(admin, move |call| handle_admin(state.clone(), call)));
     let peers = Tasks::default();
     peers.spawn(run_peers(entry.clone()));
-    Callers::new(entry.clone(), listener).serve().await;
+    callers(&entry, listener).serve().await;
     entry.claims.flush(FLUSH_LIMIT).await;
     entry.peers.stop();
     peers.join().await;
@@ -156,6 +158,26 @@
     Ok(())
 }
 
+fn callers(entry: &Rc<Entry>, listener: TcpListener) -> Callers {
+    let (settings, times) = (&entry.settings.callers, &entry.settings.shutdown);
+    let state = entry.clone();
+    Callers {
+        listener,
+        limits: Rc::new(Cell::new(Limits::from(settings))),
+        memory: Rc::new(Memory::new(settings.memory_limit)),
+        max_connections: settings.max_connections,
+        delay: Duration::from_millis(times.delay_ms),
+        limit: Duration::from_millis(times.limit_ms),
+        shutdown: entry.shutdown.clone(),
+        handler: Rc::new(move |call| {
+            let entry = state.clone();
+            Box::pin(async move { dispatch::dispatch(&entry, call).await })
+        }),
+        open: Rc::default(),
+        tasks: Tasks::default(),
+    }
+}
+
 async fn run_peers(entry: Rc<Entry>) {
     if let Err(error) = mesh::run(entry.clone()).await {
         log::error!("the entry runs without peers: {error}");
--- a/src/process/gateway/choice.rs
+++ b/src/process/gateway/choice.rs
@@ -10,7 +10,7 @@
 
 /// Targets of the entry's own failure domain, and of others, that are asked for one call.
 const NEAR_ASKED: usize = 3;
-pub const ALL_ASKED: usize = 5;
+const ALL_ASKED: usize = 5;
 /// Targets of a service that an entry uses, so that its connections stay warm in a large fleet.
 const NEAR_USED: usize = 8;
 const ALL_USED: usize = 12;
@@ -68,8 +68,9 @@
 
 /// Cost of a call at a target, in units of the call's usual duration.
 pub fn cost(member: &Member, reading: &Reading, domain: &str, now: Instant) -> f64 {
-    let stretch = reading.load.map_or(UNKNOWN_COST, |load| load.stretch());
-    let mut cost = stretch + f64::from(member.inflight) * f64::EPSILON;
+    // Calls of this entry may have left since the target answered.
+    let load = reading.load.map(|load| load.with_running(member.inflight));
+    let mut cost = load.map_or(UNKNOWN_COST, |load| load.stretch());
     if &*member.registration.domain != domain {
         cost *= FAR_FACTOR;
     }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -39,8 +39,9 @@
 use crate::prelude::*;
 use crate::version::route_table::RouteTable;
 
-/// Most connections of one entry to one target.
-const TARGET_CONNECTIONS: u32 = 8;
+/// Most and fewest connections of one entry to one target.
+const MAX_CONNECTIONS: u32 = 8;
+const MIN_CONNECTIONS: u32 = 2;
 
 /// State that the tasks of one gateway share.
 pub struct Gateway {
@@ -65,7 +66,7 @@
     /// Offsets from which each feed is read on; none if it must start with a snapshot.
     pub next_routes: Cell<Option<u64>>,
     pub next_targets: Cell<Option<u64>>,
-    /// Start of this entry's own last read of the targets that succeeded.
+    /// End of this entry's own last read of the targets that succeeded.
     pub read: Cell<Option<Instant>>,
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Whether the roster was filled once.
@@ -80,7 +81,7 @@
             settings: RefCell::new(settings),
             naming,
             metrics: Metrics::default(),
-            roster: RefCell::new(Roster::new(TARGET_CONNECTIONS)),
+            roster: RefCell::new(Roster::new(MAX_CONNECTIONS)),
             retries: RefCell::new(retries),
             probe_budget: RefCell::new(ProbeBudget::new(Instant::now())),
             usual: RefCell::default(),
@@ -135,11 +136,22 @@
 
     /// How many of `wanted` probes the budget allows.
     pub fn grant_probes(&self, wanted: usize, now: Instant) -> usize {
-        let settings = self.settings.borrow();
-        let entries = self.sharing.entries.get().unwrap_or(settings.max_entries as usize);
+        let rate = self.settings.borrow().probes;
         let targets = self.roster.borrow().len();
         let mut budget = self.probe_budget.borrow_mut();
-        budget.take(wanted, settings.probes, targets, entries, now)
+        budget.take(wanted, rate, targets, self.entries(), now)
+    }
+
+    /// This entry's part of the `connections` that a target takes from all entries.
+    pub fn connection_limit(&self, connections: u32) -> u32 {
+        let entries = u32::try_from(self.entries()).unwrap_or(u32::MAX).max(1);
+        (connections / entries).clamp(MIN_CONNECTIONS, MAX_CONNECTIONS)
+    }
+
+    /// Number of entries, as far as it is known.
+    fn entries(&self) -> usize {
+        let most = self.settings.borrow().max_entries as usize;
+        self.sharing.entries.get().unwrap_or(most)
     }
 
     /// A random share of a time, so that callers do not return together.
--- a/src/process/gateway/probing.rs
+++ b/src/process/gateway/probing.rs
@@ -10,15 +10,16 @@
 use crate::prelude::*;
 use crate::process::pool::{Lease, Pool};
 use crate::request::relayed::Relayed;
+use crate::version::route_table::ServicePlan;
 
 /// Wait for further answers once a usable one has come.
-const PATIENCE: Duration = Duration::from_millis(10);
+const COMPARE_TIME: Duration = Duration::from_millis(10);
 /// Longest wait for a target's answer.
 const ANSWER_TIME: Duration = Duration::from_millis(60);
-/// Pause before targets are asked again.
-const PAUSE: Duration = Duration::from_millis(12);
-/// Cost at which no better target is looked for.
-const GOOD_COST: f64 = 1.25;
+/// Pause before all targets are asked again.
+const ROUND_PAUSE: Duration = Duration::from_millis(12);
+/// Cost at which the answers of other targets are not waited for.
+const BEST_COST: f64 = 1.25;
 
 /// A target that was chosen, with the connection on which it has just answered.
 ///
@@ -86,10 +87,10 @@
             }
             // All targets were asked; one of them may be free by now.
             passed.truncate(tried.len());
-            monoio::time::sleep(gateway.spread(PAUSE).min(left)).await;
+            monoio::time::sleep(gateway.spread(ROUND_PAUSE).min(left)).await;
             continue;
         }
-        let Round { best, asked, heard } = ask(gateway, &keys, &relayed.probe_path, left).await;
+        let Round { best, asked, heard } = ask(gateway, &keys, &relayed.plan, left).await;
         if heard > 0 {
             miss = Miss::Full;
         } else if miss == Miss::NoTarget {
@@ -124,17 +125,22 @@
 }
 
 /// Asks targets and takes the best of those that answer in time.
-async fn ask(gateway: &Rc<Gateway>, keys: &[MemberKey], path: &str, left: Duration) -> Round {
+async fn ask(
+    gateway: &Rc<Gateway>,
+    keys: &[MemberKey],
+    plan: &ServicePlan,
+    left: Duration,
+) -> Round {
     let (sender, mut receiver) = unbounded::channel();
     for key in keys {
-        gateway.probes.spawn(probe(gateway.clone(), *key, path.to_owned(), sender.clone()));
+        gateway.probes.spawn(probe(gateway.clone(), *key, plan.clone(), sender.clone()));
     }
     drop(sender);
     let start = Instant::now();
     let limit = ANSWER_TIME.min(left);
     let mut round = Round { best: None, asked: keys.len(), heard: 0 };
     loop {
-        let wait = if round.best.is_some() { PATIENCE } else { limit };
+        let wait = if round.best.is_some() { COMPARE_TIME } else { limit };
         let wait = wait.saturating_sub(start.elapsed());
         let Ok(Some(heard)) = monoio::time::timeout(wait, receiver.recv()).await else { break };
         round.heard += 1;
@@ -142,7 +148,7 @@
         if round.best.as_ref().is_none_or(|best| offer.cost < best.offer.cost) {
             round.best = Some(Best { offer, heard });
         }
-        if offer.cost <= GOOD_COST {
+        if offer.cost <= BEST_COST {
             break;
         }
     }
@@ -161,9 +167,11 @@
 }
 
 /// Asks one target; the connection is kept even if nobody waits for the answer any more.
-async fn probe(gateway: Rc<Gateway>, key: MemberKey, path: String, sender: Tx<Heard>) {
+async fn probe(gateway: Rc<Gateway>, key: MemberKey, plan: ServicePlan, sender: Tx<Heard>) {
     let Some((pool, id)) = find(&gateway, key) else { return };
-    let asked = monoio::time::timeout(ANSWER_TIME, exchange(&gateway, &pool, &path)).await;
+    pool.set_limit(gateway.connection_limit(plan.connections));
+    let asked =
+        monoio::time::timeout(ANSWER_TIME, exchange(&gateway, &pool, &plan.probe_path)).await;
     let now = Instant::now();
     let outcome = match asked {
         Ok(Some((answer, lease))) => {
--- a/src/process/gateway/reading.rs
+++ b/src/process/gateway/reading.rs
@@ -29,6 +29,11 @@
         Some(Self { running, waiting, slots: slots.max(1), pace })
     }
 
+    /// The load with at least `running` calls at work.
+    pub fn with_running(self, running: u32) -> Self {
+        Self { running: self.running.max(running), ..self }
+    }
+
     /// Expected duration of a further call in units of its usual duration.
     pub fn stretch(&self) -> f64 {
         let pace = f64::from(self.pace.max(1)) / USUAL_PACE;
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -1,10 +1,13 @@
 //! Runs a gateway from its start to its end.
 
+use monoio::net::TcpListener;
+
 use super::naming::Naming;
 use super::reload;
 use super::settings::GatewaySettings;
 use super::sharing::{publish, subscribe};
 use super::{admin, follower, Gateway};
+use crate::connection::memory::Memory;
 use crate::connection::server;
 use crate::connection::tasks::Tasks;
 use crate::edge::directory::{Directory, Listing};
@@ -72,13 +75,13 @@
     Some(Listing { name: settings.name.clone(), domain: settings.domain.clone(), address })
 }
 
-fn callers(gateway: &Rc<Gateway>, listener: monoio::net::TcpListener) -> Callers {
+fn callers(gateway: &Rc<Gateway>, listener: TcpListener) -> Callers {
     let settings = gateway.settings.borrow();
     let state = gateway.clone();
     Callers {
         listener,
         limits: gateway.limits.clone(),
-        memory: Rc::new(crate::connection::memory::Memory::new(CALLS_MEMORY)),
+        memory: Rc::new(Memory::new(CALLS_MEMORY)),
         max_connections: settings.descriptors.saturating_sub(OTHER_DESCRIPTORS).max(64) as usize,
         delay: settings.accept_time(),
         limit: settings.end_time(),
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -114,6 +114,6 @@
         Err(Miss::Silent) => Code::NotRunConnect,
         Err(Miss::Expired) => Code::NotRunDeadline,
     };
-    relayed.note_search(gateway, code, tried.len());
+    relayed.note_search(code, tried.len());
     Err(code)
 }
--- a/src/request/relayed.rs
+++ b/src/request/relayed.rs
@@ -5,6 +5,7 @@
 use crate::process::gateway::probing::Choice;
 use crate::process::gateway::Gateway;
 use crate::version::route::Route;
+use crate::version::route_table::ServicePlan;
 
 /// Deadline of a call that names none beyond its route's timeout.
 const MAX_DEADLINE: Duration = Duration::from_secs(3600);
@@ -22,7 +23,7 @@
     pub id: String,
     pub route: Rc<Route>,
     pub service: Rc<str>,
-    pub probe_path: String,
+    pub plan: ServicePlan,
     /// Version of the routes that decided.
     pub version: u64,
     pub arrived: Instant,
@@ -42,12 +43,12 @@
         let host = call.header("host").unwrap_or_default();
         let route = table.find(host, call.uri.path()).ok_or(Code::RefusedService)?.clone();
         let service = route.assign().clone();
-        let plan = table.service(&service).ok_or(Code::RefusedService)?;
+        let plan = table.service(&service).ok_or(Code::RefusedService)?.clone();
         let left = call.header(gateway.naming.deadline).and_then(|text| text.trim().parse().ok());
         let left = left.map_or(MAX_DEADLINE, Duration::from_millis);
         Ok(Self {
             id: call.header(gateway.naming.call_id).unwrap_or_default().to_owned(),
-            probe_path: plan.probe_path.clone(),
+            plan,
             version: table.version,
             arrived: now,
             deadline: Deadline::after(now, left.min(route.timeout)),
@@ -93,8 +94,9 @@
     }
 
     /// Logs a search that found no target.
-    pub fn note_search(&self, gateway: &Gateway, code: Code, tried: usize) {
+    pub fn note_search(&self, code: Code, tried: usize) {
         let now = Instant::now();
+        let gateway = &self.gateway;
         let age = gateway.sharing.knowledge.borrow().age(now).unwrap_or_default();
         log::info!(
             call = self.id.as_str(), service = &*self.service, version = self.version,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -188,3 +188,17 @@
     })
     .unwrap();
 }
+
+/// Guards against more connections of all entries together than a target takes.
+#[test]
+fn connections_to_a_target_are_shared_among_the_entries() {
+    block_on(async {
+        let gateway = TestGateway::empty().gateway;
+        gateway.sharing.entries.set(Some(50));
+
+        let limits = [1000, 200, 10].map(|connections| gateway.connection_limit(connections));
+
+        assert_eq!(limits, [8, 4, 2]);
+    })
+    .unwrap();
+}
