Replace the semaphore between the feeds, which panicked

Cause: two of 146 processes panicked in local-sync's semaphore (waiters already borrowed) as the directory came back, when the wait that had just been served was dropped by select.

--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -7,8 +7,6 @@
 //!
 //! An entry to which another one tells all this does not read as long as it hears fresh news.
 
-use local_sync::semaphore::Semaphore;
-
 use super::contact::Turn;
 use super::Gateway;
 use crate::edge::directory::{Directory, Feed, Read};
@@ -24,13 +22,13 @@
 
 /// Follows both feeds until the task is dropped.
 pub async fn follow(gateway: Rc<Gateway>, directory: Rc<dyn Directory>) {
-    let regained = Semaphore::new(0);
+    let regained = Cell::new(0);
     let targets = follow_targets(&gateway, &*directory, &regained);
     let routes = follow_routes(&gateway, &*directory, &regained);
     monoio::join!(targets, routes);
 }
 
-async fn follow_targets(gateway: &Gateway, directory: &dyn Directory, regained: &Semaphore) {
+async fn follow_targets(gateway: &Gateway, directory: &dyn Directory, regained: &Cell<u32>) {
     loop {
         rest(gateway).await;
         let start = Instant::now();
@@ -42,7 +40,7 @@
                 let turn = gateway.contact.borrow_mut().succeed(now);
                 if let Turn::Regained(away) = turn {
                     log::info!(feed = "targets", away_ms = away.as_millis() as u64; "directory regained");
-                    regained.add_permits(1);
+                    regained.set(regained.get() + 1);
                 }
                 gateway.read.set(Some(now));
                 gateway.sharing.knowledge.borrow_mut().learn(Feed::Targets, now);
@@ -71,7 +69,7 @@
     }
 }
 
-async fn follow_routes(gateway: &Gateway, directory: &dyn Directory, regained: &Semaphore) {
+async fn follow_routes(gateway: &Gateway, directory: &dyn Directory, regained: &Cell<u32>) {
     let mut failing = false;
     loop {
         rest(gateway).await;
@@ -79,12 +77,7 @@
         let result = monoio::select! {
             result = read(directory, Feed::Routes, next) => result,
             // The read may be one that the directory lost in its outage.
-            permit = regained.acquire() => {
-                if let Ok(permit) = permit {
-                    permit.forget();
-                }
-                continue;
-            }
+            () = changes_of(regained) => continue,
         };
         match result {
             Ok(result) => {
@@ -110,6 +103,15 @@
     }
 }
 
+/// Resolves when the count has changed. A semaphore panicked here when a wait that it had just
+/// served was dropped.
+async fn changes_of(count: &Cell<u32>) {
+    let before = count.get();
+    while count.get() == before {
+        monoio::time::sleep(REST_LOOK).await;
+    }
+}
+
 /// Waits as long as another entry tells fresh news.
 async fn rest(gateway: &Gateway) {
     loop {
