Tell subscribers only what they lack, from the widest link, and back off

Ruled out: a slow store (its answers took 8 ms) and lost connections.

Now a subscriber's greeting says the offset of its routes and digests of 64 parts of its roster, and it gets the parts that differ. Updates carry a digest, so that rosters that drift apart are noticed. The order of readers puts fast links first. Failed reads back off to 0.5 s (readers) or 3 s (others), and a reader that is as stale as its subscriber is passed over in growing steps.

--- a/src/edge/directory.rs
+++ b/src/edge/directory.rs
@@ -76,6 +76,8 @@
     pub domain: String,
     /// Address at which the entry shares what it reads.
     pub address: SocketAddr,
+    /// Speed of the entry's link in Mbit/s; 0 if it is not known.
+    pub link_mbps: u32,
 }
 
 /// The directory service.
--- a/src/edge/stand_in/directory.rs
+++ b/src/edge/stand_in/directory.rs
@@ -36,6 +36,11 @@
         stream.push(Change { offset: stream.len() as u64, key: key.into(), value });
     }
 
+    /// All changes of a feed so far.
+    pub fn since_start(&self, feed: Feed) -> Vec<Change> {
+        self.streams.borrow()[feed as usize].clone()
+    }
+
     /// Drops the history; the newest change of each entry stays.
     pub fn forget(&self) {
         for (first, stream) in self.first.borrow_mut().iter_mut().zip(&*self.streams.borrow()) {
--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -3,6 +3,8 @@
 use std::collections::HashSet;
 
 use super::roster::{Absence, Effect};
+use super::sharing::buckets::{self, Buckets};
+use super::sharing::greeting::Greeting;
 use super::sharing::update::Update;
 use super::sharing::STALE_AGE;
 use super::Gateway;
@@ -46,8 +48,8 @@
             update.targets.extend(self.apply_target(directory, change, absence, Source::Directory));
         }
         if is_snapshot {
-            self.retain(&batch.changes, absence, Source::Directory);
-            update = self.full_update();
+            let missing = self.retain(&batch.changes, Buckets::ALL, absence, Source::Directory);
+            update.targets.extend(missing);
         }
         self.next_targets.set(Some(batch.next));
         self.set_filled();
@@ -57,7 +59,6 @@
     /// Removes lapsed targets whose time to return has passed.
     pub fn purge(&self) {
         let purged = self.roster.borrow_mut().purge(Instant::now());
-        let removal = |change: &Change| Change { value: Bytes::new(), ..change.clone() };
         let targets: Vec<Change> = purged.iter().map(removal).collect();
         for change in &targets {
             log::info!(target_id = &*change.key; "target did not return");
@@ -76,9 +77,9 @@
             self.apply_target(directory, change, Absence::Gone, Source::Entry);
         }
         // A reader that knows less than this entry cannot tell which targets are gone.
-        if update.complete && update.targets_next >= self.next_targets.get() {
-            self.retain(&update.targets, Absence::Gone, Source::Entry);
-        }
+        let is_newer = update.targets_next >= self.next_targets.get();
+        let complete = if is_newer { update.complete } else { Buckets::NONE };
+        self.retain(&update.targets, complete, Absence::Gone, Source::Entry);
         self.next_routes.set(self.next_routes.get().max(update.routes_next));
         self.next_targets.set(self.next_targets.get().max(update.targets_next));
         if let Some(age) = update.age {
@@ -87,7 +88,15 @@
             self.contact.borrow_mut().hear(now.checked_sub(age));
             self.set_filled();
         }
-        self.publish(Update { complete: false, ..update.clone() });
+        self.publish(Update { complete, ..update.clone() });
+    }
+
+    /// Whether this entry and the one that reads for it have read equally far and still know
+    /// different targets.
+    pub fn differs(&self, update: &Update) -> bool {
+        update.age.is_some()
+            && update.targets_next == self.next_targets.get()
+            && update.digest != buckets::total(&self.roster.borrow().digests())
     }
 
     /// Whether this entry reads the directory while the one that should knows too little.
@@ -96,6 +105,11 @@
         own && told.is_none_or(|age| age > STALE_AGE)
     }
 
+    /// Whether this entry's own last read of the targets failed.
+    pub fn is_failing(&self) -> bool {
+        self.contact.borrow().is_failing()
+    }
+
     /// Tells subscribers how old this entry's knowledge is, with nothing new.
     pub fn tell_age(&self) {
         self.publish(Update::default());
@@ -103,10 +117,26 @@
 
     /// All that the entry knows.
     pub fn full_update(&self) -> Update {
+        self.lacking_update(&Greeting { routes: None, digests: [0; buckets::COUNT] })
+    }
+
+    /// What this entry says of its knowledge to the one that reads for it.
+    pub fn greeting(&self) -> Greeting {
+        Greeting {
+            routes: self.routes.borrow().as_ref().map(|routes| routes.offset),
+            digests: self.roster.borrow().digests(),
+        }
+    }
+
+    /// What an entry lacks that says this of its knowledge.
+    pub fn lacking_update(&self, greeting: &Greeting) -> Update {
+        let roster = self.roster.borrow();
+        let parts = Buckets::differing(&greeting.digests, &roster.digests());
+        let routes = self.routes.borrow().clone();
         let update = Update {
-            complete: self.filled.get(),
-            routes: self.routes.borrow().clone(),
-            targets: self.roster.borrow().changes(),
+            complete: if self.filled.get() { parts } else { Buckets::NONE },
+            routes: routes.filter(|routes| greeting.routes < Some(routes.offset)),
+            targets: roster.changes(parts),
             ..Update::default()
         };
         self.complete(update)
@@ -123,6 +153,7 @@
             routes_next: self.next_routes.get(),
             targets_next: self.next_targets.get(),
             age: self.sharing.knowledge.borrow().age(Instant::now()),
+            digest: buckets::total(&self.roster.borrow().digests()),
             ..update
         }
     }
@@ -175,14 +206,37 @@
         }
     }
 
-    fn retain(&self, held: &[Change], absence: Absence, source: Source) {
+    /// Reads the absence of targets; returns the changes that others need to know.
+    fn retain(
+        &self,
+        held: &[Change],
+        parts: Buckets,
+        absence: Absence,
+        source: Source,
+    ) -> Vec<Change> {
+        if parts.is_empty() {
+            return Vec::new();
+        }
         let held: HashSet<Rc<str>> = held.iter().map(|change| change.key.clone()).collect();
-        for (id, effect) in self.roster.borrow_mut().retain(&held, absence) {
-            log::info!(target_id = &*id, effect:? = effect, source = source.name(); "target missing");
+        let mut removed = Vec::new();
+        for (last, effect) in self.roster.borrow_mut().retain(&held, parts, absence) {
+            log::info!(
+                target_id = &*last.key, effect:? = effect, source = source.name();
+                "target missing"
+            );
+            if effect == Effect::Removed {
+                removed.extend([last.clone(), removal(&last)]);
+            }
         }
+        removed
     }
 }
 
+/// The end of a target, after its last report.
+fn removal(last: &Change) -> Change {
+    Change { value: Bytes::new(), ..last.clone() }
+}
+
 fn tell(change: &Change, effect: &Effect, source: Source) {
     match effect {
         Effect::Unchanged => {}
--- a/src/process/gateway/contact.rs
+++ b/src/process/gateway/contact.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Whether the last read failed.
+    pub fn is_failing(&self) -> bool {
+        self.failing
+    }
+
     /// Age of what the last successful read told.
     pub fn age(&self, now: Instant) -> Option<Duration> {
         self.good.map(|good| now.saturating_duration_since(good))
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -15,8 +15,12 @@
 /// Shortest time between two reads of the targets' feed when it changes all the time. A draining
 /// target may get calls for as long.
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
-/// Pause after a failed read.
+/// Pause after a failed read; each further failure doubles it.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Longest such pause of an entry that others wait for, or that cannot serve yet.
+const READER_PAUSE: Duration = Duration::from_millis(500);
+/// Longest such pause of an entry to which another one will tell the directory's return.
+const OTHER_PAUSE: Duration = Duration::from_secs(3);
 /// Time between two looks whether the news that another entry tells are still fresh.
 const REST_LOOK: Duration = Duration::from_millis(25);
 
@@ -29,12 +33,14 @@
 }
 
 async fn follow_targets(gateway: &Gateway, directory: &dyn Directory, regained: &Cell<u32>) {
+    let mut failures = 0;
     loop {
         rest(gateway).await;
         let start = Instant::now();
         let next = gateway.next_targets.get();
         match read(directory, Feed::Targets, next).await {
             Ok(result) => {
+                failures = 0;
                 // An answer that waited for a change tells the state at its end.
                 let now = Instant::now();
                 let turn = gateway.contact.borrow_mut().succeed(now);
@@ -63,14 +69,14 @@
                 }
                 gateway.purge();
                 gateway.tell_age();
-                monoio::time::sleep(RETRY_PAUSE).await;
+                back_off(gateway, &mut failures).await;
             }
         }
     }
 }
 
 async fn follow_routes(gateway: &Gateway, directory: &dyn Directory, regained: &Cell<u32>) {
-    let mut failing = false;
+    let mut failures = 0;
     loop {
         rest(gateway).await;
         let next = gateway.next_routes.get();
@@ -81,7 +87,7 @@
         };
         match result {
             Ok(result) => {
-                if std::mem::take(&mut failing) {
+                if std::mem::take(&mut failures) > 0 {
                     log::info!(feed = "routes"; "directory regained");
                 }
                 gateway.sharing.knowledge.borrow_mut().learn(Feed::Routes, Instant::now());
@@ -94,10 +100,10 @@
                 }
             }
             Err(error) => {
-                if !std::mem::replace(&mut failing, true) {
+                if failures == 0 {
                     log::warn!(feed = "routes", error:% = error; "directory lost");
                 }
-                monoio::time::sleep(RETRY_PAUSE).await;
+                back_off(gateway, &mut failures).await;
             }
         }
     }
@@ -112,6 +118,19 @@
     }
 }
 
+/// Pauses after a failed read, longer after each, unless another entry tells fresh news.
+///
+/// Without it, all entries of a domain would press on a directory that is away.
+async fn back_off(gateway: &Gateway, failures: &mut u32) {
+    let longest = match gateway.sharing.is_own_reader() || !gateway.is_ready() {
+        true => READER_PAUSE,
+        false => OTHER_PAUSE,
+    };
+    let pause = RETRY_PAUSE.saturating_mul(1 << (*failures).min(8)).min(longest);
+    *failures += 1;
+    monoio::time::sleep(gateway.spread(pause)).await;
+}
+
 /// Waits as long as another entry tells fresh news.
 async fn rest(gateway: &Gateway) {
     loop {
--- a/src/process/gateway/roster.rs
+++ b/src/process/gateway/roster.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use super::member::{Member, MemberKey};
+use super::sharing::buckets::{self, Buckets, Digests};
 use crate::edge::directory::{Change, News};
 use crate::prelude::*;
 use crate::version::registration::{Registration, TargetState};
@@ -81,9 +82,19 @@
         self.ids.get(id).map(|key| &self.members[*key])
     }
 
-    /// The newest report of each target.
-    pub fn changes(&self) -> Vec<Change> {
-        self.members.values().map(|member| member.change.clone()).collect()
+    /// The newest report of each target in some parts.
+    pub fn changes(&self, parts: Buckets) -> Vec<Change> {
+        let members = self.members.values().filter(|member| parts.contains(&member.change.key));
+        members.map(|member| member.change.clone()).collect()
+    }
+
+    /// Digests by which another entry sees whether it knows the same.
+    pub fn digests(&self) -> Digests {
+        let mut digests = [0; buckets::COUNT];
+        for member in self.members.values() {
+            digests[buckets::of(&member.registration.id)] ^= buckets::digest(&member.registration);
+        }
+        digests
     }
 
     /// Number of targets.
@@ -118,11 +129,26 @@
         }
     }
 
-    /// Reads the absence of all targets that a snapshot does not hold.
-    pub fn retain(&mut self, held: &HashSet<Rc<str>>, absence: Absence) -> Vec<(Rc<str>, Effect)> {
-        let missing: Vec<Rc<str>> =
-            self.ids.keys().filter(|id| !held.contains(*id)).cloned().collect();
-        missing.into_iter().map(|id| (id.clone(), self.lose(&id, absence))).collect()
+    /// Reads the absence of all targets of some parts that a snapshot does not hold.
+    ///
+    /// Returns the last report of each with the effect.
+    pub fn retain(
+        &mut self,
+        held: &HashSet<Rc<str>>,
+        parts: Buckets,
+        absence: Absence,
+    ) -> Vec<(Change, Effect)> {
+        let is_missing = |member: &&Member| {
+            let id = &member.change.key;
+            parts.contains(id) && !held.contains(id)
+        };
+        let missing: Vec<Change> =
+            self.members.values().filter(is_missing).map(|member| member.change.clone()).collect();
+        let lose = |change: Change| {
+            let effect = self.lose(&change.key, absence);
+            (change, effect)
+        };
+        missing.into_iter().map(lose).collect()
     }
 
     /// Removes lapsed targets whose time to return has passed.
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -72,7 +72,12 @@
 fn listing(gateway: &Gateway) -> Option<Listing> {
     let settings = gateway.settings.borrow();
     let address = settings.share?;
-    Some(Listing { name: settings.name.clone(), domain: settings.domain.clone(), address })
+    Some(Listing {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        address,
+        link_mbps: settings.link_mbps as u32,
+    })
 }
 
 fn callers(gateway: &Rc<Gateway>, listener: TcpListener) -> Callers {
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -40,6 +40,10 @@
     pub seeds: Vec<SocketAddr>,
     /// Address of the directory.
     pub directory: SocketAddr,
+    /// Speed of the VM's link in Mbit/s; entries with faster links read for the others.
+    pub link_mbps: f64,
+    /// Whether all entries start together for the first time, so that none is listed yet.
+    pub first_start: bool,
     /// Most entries that run at a time.
     pub max_entries: u32,
     /// Repeats for each call, of all entries together.
@@ -69,6 +73,8 @@
         Field::optional("share", Kind::Address),
         Field::default("seeds", Kind::List { of: &Kind::Address, min: 0, max: MAX_SEEDS }, "[]"),
         Field::required("directory", Kind::Address),
+        Field::default("linkMbps", Kind::Number { min: 0.0, max: 10_000_000.0 }, "0.0"),
+        Field::default("firstStart", Kind::Boolean, "false"),
         Field::default("maxEntries", Kind::Integer { min: 1, max: 100_000 }, "16"),
         Field::default("retryRatio", Kind::Number { min: 0.0, max: 1.0 }, "0.1"),
         Field::default("retryWindowMs", TIME, "10000"),
--- /dev/null
+++ b/src/process/gateway/sharing/frame.rs
@@ -0,0 +1,48 @@
+//! Messages between entries on a connection: a length in four bytes, big-endian, and a postcard
+//! value.
+
+use monoio::io::{AsyncReadRent, AsyncReadRentExt};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::prelude::*;
+
+type Result<T> = std::result::Result<T, Error>;
+
+/// Bytes of a message's length.
+const LENGTH_BYTES: usize = 4;
+
+/// Writes a message.
+pub fn encode(message: &impl Serialize) -> Bytes {
+    let body = postcard::to_stdvec(message).expect("wire types have no failing serializer");
+    let mut frame = BytesMut::with_capacity(LENGTH_BYTES + body.len());
+    frame.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&body);
+    frame.freeze()
+}
+
+/// Parses a message without its length.
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T> {
+    postcard::from_bytes(body).map_err(malformed)
+}
+
+/// Reads a message of at most `max_bytes`.
+pub async fn read<T: DeserializeOwned>(
+    stream: &mut impl AsyncReadRent,
+    max_bytes: usize,
+) -> Result<T> {
+    let (result, length) = stream.read_exact(vec![0; LENGTH_BYTES]).await;
+    result.map_err(malformed)?;
+    let length: [u8; LENGTH_BYTES] = length.try_into().map_err(|_| malformed("no length"))?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > max_bytes {
+        return Err(malformed(format!("a message of {length} bytes")));
+    }
+    let (result, body) = stream.read_exact(vec![0; length]).await;
+    result.map_err(malformed)?;
+    decode(&body)
+}
+
+fn malformed(reason: impl ToString) -> Error {
+    Error::Malformed { reason: reason.to_string() }
+}
--- a/src/process/gateway/sharing/knowledge.rs
+++ b/src/process/gateway/sharing/knowledge.rs
@@ -6,21 +6,24 @@
 
 /// Time that a read of the routes may wait for a change before its silence counts as age.
 const ROUTES_SLACK: Duration = Duration::from_millis(2700);
-/// Time after the start in which the entry waits for another one to share its knowledge.
-const START_PATIENCE: Duration = Duration::from_millis(900);
+/// Time after the start in which the entry waits for another one to share its knowledge. Callers
+/// are refused meanwhile.
+pub const START_PATIENCE: Duration = Duration::from_millis(400);
+/// The same if all entries start together for the first time, before there are callers.
+pub const FIRST_START_PATIENCE: Duration = Duration::from_millis(2500);
 
 /// The moments whose state of the directory the entry knows at least.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Knowledge {
     routes: Option<Instant>,
     targets: Option<Instant>,
-    started: Option<Instant>,
+    patient_until: Option<Instant>,
 }
 
 impl Knowledge {
     /// Starts with nothing but the prospect of another entry's knowledge.
-    pub fn start(&mut self, now: Instant) {
-        self.started = Some(now);
+    pub fn wait_until(&mut self, moment: Instant) {
+        self.patient_until = Some(moment);
     }
 
     /// Takes note that the entry knows the state of a feed at a moment.
@@ -48,9 +51,9 @@
 
     /// How long the knowledge is still fresh.
     pub fn rest(&self, now: Instant) -> Duration {
-        match (self.age(now), self.started) {
+        match (self.age(now), self.patient_until) {
             (Some(age), _) => STALE_AGE.saturating_sub(age),
-            (None, Some(started)) => (started + START_PATIENCE).saturating_duration_since(now),
+            (None, Some(until)) => until.saturating_duration_since(now),
             (None, None) => Duration::ZERO,
         }
     }
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -1,18 +1,20 @@
 //! Entries of a failure domain share what one of them reads from the directory.
 //!
-//! The entries of a domain agree on an order by hashing their names. The first one that answers
-//! reads the directory; the others subscribe to it. Every update states how old the reader's
+//! The entries of a domain agree on an order: the widest links first, then by hashed names. The
+//! first one that answers reads the directory; the others subscribe to it and say what they know,
+//! so that they get only what they lack. Every update states how old the reader's
 //! knowledge is, and an entry whose knowledge is older than `STALE_AGE` reads for itself, whatever
 //! the reason. Different views of the order therefore cost further reads, never correctness.
 
+pub mod buckets;
+pub mod frame;
+pub mod greeting;
 pub mod knowledge;
 pub mod order;
 pub mod publish;
 pub mod subscribe;
 pub mod update;
 
-use local_sync::semaphore::Semaphore;
-
 use self::knowledge::Knowledge;
 use self::publish::Subscribers;
 use crate::prelude::*;
@@ -30,30 +32,27 @@
     Other(String),
 }
 
+/// How much an entry knows of the list of entries.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ListState {
+    #[default]
+    Unknown,
+    /// The directory has answered.
+    Heard,
+    /// The list holds the entries that started together with this one.
+    Listed,
+}
+
 /// What this entry shares and gets.
+#[derive(Default)]
 pub struct Sharing {
     pub reader: RefCell<Reader>,
     pub knowledge: RefCell<Knowledge>,
     pub subscribers: Subscribers,
     /// Number of listed entries of all domains, if the list was read.
     pub entries: Cell<Option<usize>>,
-    /// Closed once the directory has answered about the list.
-    pub heard: Semaphore,
-    /// Closed once the list holds the entries that started together with this one.
-    pub listed: Semaphore,
-}
-
-impl Default for Sharing {
-    fn default() -> Self {
-        Self {
-            reader: RefCell::default(),
-            knowledge: RefCell::default(),
-            subscribers: Subscribers::default(),
-            entries: Cell::default(),
-            heard: Semaphore::new(0),
-            listed: Semaphore::new(0),
-        }
-    }
+    /// How much of the list of entries is known.
+    pub list: Cell<ListState>,
 }
 
 impl Sharing {
@@ -65,6 +64,16 @@
         }
     }
 
+    /// Whether this entry reads the directory for others.
+    pub fn is_own_reader(&self) -> bool {
+        *self.reader.borrow() == Reader::Own
+    }
+
+    /// Takes note that the directory has answered about the list.
+    pub fn hear_list(&self) {
+        self.list.set(self.list.get().max(ListState::Heard));
+    }
+
     /// Changes who reads the directory, and logs it.
     pub fn set_reader(&self, reader: Reader) {
         if *self.reader.borrow() == reader {
--- a/src/process/gateway/sharing/order.rs
+++ b/src/process/gateway/sharing/order.rs
@@ -1,5 +1,6 @@
 //! The order in which the entries of a failure domain are asked to read for the others.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -7,15 +8,23 @@
 use crate::edge::directory::Listing;
 use crate::prelude::*;
 
-/// Time for which an entry that failed is passed over.
+/// Time for which an entry that failed is passed over; each further failure doubles it.
 const PAUSE: Duration = Duration::from_secs(5);
+/// Most doublings of the pause.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// The entries of the own failure domain, and which of them failed.
 #[derive(Debug, Default)]
 pub struct Order {
     entries: Vec<Listing>,
-    listed: bool,
-    failed: HashMap<String, Instant>,
+    failed: HashMap<String, Failure>,
+}
+
+/// The failures of an entry since it last told fresh news.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    until: Instant,
+    count: u32,
 }
 
 impl Order {
@@ -27,23 +36,22 @@
                 name: seed.to_string(),
                 domain: own.domain.clone(),
                 address: *seed,
+                link_mbps: 0,
             })
             .collect();
         self.entries.push(own.clone());
     }
 
-    /// Whether the list was read.
-    pub fn is_listed(&self) -> bool {
-        self.listed
-    }
-
     /// Takes over a list; entries of other domains do not matter.
     pub fn set(&mut self, own: &Listing, listings: Vec<Listing>) {
-        self.listed = true;
         self.entries = listings;
         self.entries.retain(|entry| entry.domain == own.domain && entry.name != own.name);
         self.entries.push(own.clone());
-        self.entries.sort_by_key(|entry| (xxh3_64(entry.name.as_bytes()), entry.name.clone()));
+        let is_listed = |name: &String| self.entries.iter().any(|entry| entry.name == *name);
+        self.failed.retain(|name, _| is_listed(name));
+        let hash = |entry: &Listing| xxh3_64(entry.name.as_bytes());
+        self.entries
+            .sort_by_key(|entry| (Reverse(entry.link_mbps), hash(entry), entry.name.clone()));
     }
 
     /// The first entry that did not fail lately; the own one if there is no other.
@@ -59,11 +67,18 @@
 
     /// Takes note that an entry cannot be reached or knows less than this one.
     pub fn fail(&mut self, name: &str, now: Instant) {
-        self.failed.insert(name.to_owned(), now);
-        self.failed.retain(|_, failed| now.saturating_duration_since(*failed) < PAUSE);
+        let failure =
+            self.failed.entry(name.to_owned()).or_insert(Failure { until: now, count: 0 });
+        failure.until = now + PAUSE * (1 << failure.count.min(MAX_DOUBLINGS));
+        failure.count += 1;
+    }
+
+    /// Takes note that an entry tells fresh news.
+    pub fn succeed(&mut self, name: &str) {
+        self.failed.remove(name);
     }
 
     fn failed_until(&self, entry: &Listing) -> Option<Instant> {
-        self.failed.get(&entry.name).map(|failed| *failed + PAUSE)
+        self.failed.get(&entry.name).map(|failure| failure.until)
     }
 }
--- a/src/process/gateway/sharing/publish.rs
+++ b/src/process/gateway/sharing/publish.rs
@@ -4,6 +4,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
 
+use super::greeting::Greeting;
 use super::update::{Update, FORMAT};
 use crate::connection::tasks::Tasks;
 use crate::prelude::*;
@@ -20,8 +21,8 @@
 #[derive(Default)]
 pub struct Subscribers {
     queues: RefCell<Vec<Queue>>,
-    /// All that the entry knows, as a message that subscribers share until something changes. It
-    /// states no age, which would be out of date.
+    /// All that the entry knows, as a message for subscribers that know nothing; they share it
+    /// until something changes. It states no age, which would be out of date.
     full: RefCell<Option<Bytes>>,
 }
 
@@ -56,14 +57,15 @@
         });
     }
 
-    fn add(&self, full: impl Fn() -> Update, age: &Update) -> (Rx<Bytes>, Rc<Cell<usize>>) {
-        let full = self
-            .full
-            .borrow_mut()
-            .get_or_insert_with(|| Update { age: None, ..full() }.encode())
-            .clone();
+    /// The message that holds all, written by `write` unless it is still true.
+    fn full(&self, write: impl FnOnce() -> Update) -> Bytes {
+        let mut full = self.full.borrow_mut();
+        full.get_or_insert_with(|| Update { age: None, ..write() }.encode()).clone()
+    }
+
+    /// Adds a subscriber, which first gets the given messages.
+    fn add(&self, first: Vec<Bytes>) -> (Rx<Bytes>, Rc<Cell<usize>>) {
         let (sender, receiver) = unbounded::channel();
-        let first = [full, age.encode()];
         let waiting = Rc::new(Cell::new(first.len()));
         for message in first {
             // The receiver lives, so that no message can be refused.
@@ -93,8 +95,11 @@
         log::warn!(format = byte[0]; "subscriber refused");
         return;
     }
-    let (full, age) = (|| gateway.full_update(), gateway.complete(Update::default()));
-    let (mut messages, waiting) = gateway.sharing.subscribers.add(full, &age);
+    let Ok(Ok(greeting)) = monoio::time::timeout(PEER_TIME, Greeting::read(&mut stream)).await
+    else {
+        return;
+    };
+    let (mut messages, waiting) = gateway.sharing.subscribers.add(first(&gateway, &greeting));
     while let Some(message) = messages.recv().await {
         waiting.set(waiting.get() - 1);
         let written = monoio::time::timeout(PEER_TIME, stream.write_all(message)).await;
@@ -103,3 +108,14 @@
         }
     }
 }
+
+/// What a new subscriber lacks, and how old the entry's knowledge is.
+fn first(gateway: &Gateway, greeting: &Greeting) -> Vec<Bytes> {
+    let lack = gateway.lacking_update(greeting);
+    let lack = match (lack.has_changes(), greeting.routes) {
+        (false, _) => None,
+        (true, None) => Some(gateway.sharing.subscribers.full(|| gateway.full_update())),
+        (true, Some(_)) => Some(Update { age: None, ..lack }.encode()),
+    };
+    lack.into_iter().chain([gateway.complete(Update::default()).encode()]).collect()
+}
--- a/src/process/gateway/sharing/update.rs
+++ b/src/process/gateway/sharing/update.rs
@@ -1,28 +1,28 @@
 //! What a reader tells its subscribers, and its form on the wire.
 //!
-//! A message is its length in four bytes, big-endian, and a postcard value. A subscriber sends
-//! `FORMAT` once; everything else goes from the reader to the subscriber.
+//! A subscriber sends `FORMAT` and a greeting once; everything else goes from the reader to the
+//! subscriber.
 
-use monoio::io::{AsyncReadRent, AsyncReadRentExt};
+use monoio::io::AsyncReadRent;
 use serde::{Deserialize, Serialize};
 
+use super::buckets::Buckets;
+use super::frame;
 use crate::edge::directory::Change;
 use crate::prelude::*;
 
 type Result<T> = std::result::Result<T, Error>;
 
 /// First byte from a subscriber: the version of the messages that it reads.
-pub const FORMAT: u8 = 1;
+pub const FORMAT: u8 = 2;
 /// Largest message.
 const MAX_BYTES: usize = 32 * 1024 * 1024;
-/// Bytes of a message's length.
-const LENGTH_BYTES: usize = 4;
 
 /// News of the directory since the last update.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Update {
-    /// Whether `targets` holds all targets, so that others are gone.
-    pub complete: bool,
+    /// Parts of which `targets` holds all targets, so that others are gone.
+    pub complete: Buckets,
     pub routes: Option<Change>,
     pub targets: Vec<Change>,
     /// Offset from which a reader goes on in each feed.
@@ -30,16 +30,19 @@
     pub targets_next: Option<u64>,
     /// Age of the reader's knowledge; none if it knows nothing yet.
     pub age: Option<Duration>,
+    /// Digest of the reader's roster.
+    pub digest: u64,
 }
 
 #[derive(Serialize, Deserialize)]
 struct UpdateWire {
-    complete: bool,
+    complete: u64,
     routes: Option<ChangeWire>,
     targets: Vec<ChangeWire>,
     routes_next: Option<u64>,
     targets_next: Option<u64>,
     age_us: Option<u64>,
+    digest: u64,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -64,12 +67,13 @@
 impl From<&Update> for UpdateWire {
     fn from(update: &Update) -> Self {
         Self {
-            complete: update.complete,
+            complete: update.complete.0,
             routes: update.routes.as_ref().map(Into::into),
             targets: update.targets.iter().map(Into::into).collect(),
             routes_next: update.routes_next,
             targets_next: update.targets_next,
             age_us: update.age.map(|age| age.as_micros() as u64),
+            digest: update.digest,
         }
     }
 }
@@ -77,12 +81,13 @@
 impl From<UpdateWire> for Update {
     fn from(wire: UpdateWire) -> Self {
         Self {
-            complete: wire.complete,
+            complete: Buckets(wire.complete),
             routes: wire.routes.map(Into::into),
             targets: wire.targets.into_iter().map(Into::into).collect(),
             routes_next: wire.routes_next,
             targets_next: wire.targets_next,
             age: wire.age_us.map(Duration::from_micros),
+            digest: wire.digest,
         }
     }
 }
@@ -90,40 +95,21 @@
 impl Update {
     /// Whether the update says more than its age.
     pub fn has_changes(&self) -> bool {
-        self.complete || self.routes.is_some() || !self.targets.is_empty()
+        !self.complete.is_empty() || self.routes.is_some() || !self.targets.is_empty()
     }
 
     /// The message.
     pub fn encode(&self) -> Bytes {
-        let wire = UpdateWire::from(self);
-        let body = postcard::to_stdvec(&wire).expect("the wire type has no failing serializer");
-        let mut message = BytesMut::with_capacity(LENGTH_BYTES + body.len());
-        message.extend_from_slice(&(body.len() as u32).to_be_bytes());
-        message.extend_from_slice(&body);
-        message.freeze()
+        frame::encode(&UpdateWire::from(self))
     }
 
     /// Parses a message without its length.
     pub fn decode(body: &[u8]) -> Result<Self> {
-        let wire: UpdateWire = postcard::from_bytes(body).map_err(malformed)?;
-        Ok(wire.into())
+        Ok(frame::decode::<UpdateWire>(body)?.into())
     }
 
     /// Reads a message.
     pub async fn read(stream: &mut impl AsyncReadRent) -> Result<Self> {
-        let (result, length) = stream.read_exact(vec![0; LENGTH_BYTES]).await;
-        result.map_err(malformed)?;
-        let length: [u8; LENGTH_BYTES] = length.try_into().map_err(|_| malformed("no length"))?;
-        let length = u32::from_be_bytes(length) as usize;
-        if length > MAX_BYTES {
-            return Err(malformed(format!("a message of {length} bytes")));
-        }
-        let (result, body) = stream.read_exact(vec![0; length]).await;
-        result.map_err(malformed)?;
-        Self::decode(&body)
+        Ok(frame::read::<UpdateWire>(stream, MAX_BYTES).await?.into())
     }
 }
-
-fn malformed(reason: impl ToString) -> Error {
-    Error::Malformed { reason: reason.to_string() }
-}
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -4,7 +4,7 @@
 use cornellink::prelude::*;
 use cornellink::process::gateway::contact::{Contact, Turn};
 use cornellink::process::gateway::roster::Absence;
-use cornellink::process::gateway::sharing::knowledge::Knowledge;
+use cornellink::process::gateway::sharing::knowledge::{Knowledge, START_PATIENCE};
 use cornellink::process::gateway::sharing::STALE_AGE;
 
 fn ms(millis: u64) -> Duration {
@@ -63,10 +63,11 @@
 fn start_waits_for_another_entry_for_a_short_time() {
     let mut knowledge = Knowledge::default();
     let now = Instant::now();
-    knowledge.start(now);
+    knowledge.wait_until(now + START_PATIENCE);
 
     assert!(knowledge.rest(now) > Duration::ZERO);
-    assert_eq!(knowledge.rest(now + ms(900)), Duration::ZERO);
+    assert_eq!(knowledge.rest(now + START_PATIENCE), Duration::ZERO);
+    assert!(START_PATIENCE <= ms(900));
 }
 
 /// Guards against lapsed entries that count as gone before their targets could renew them, and
--- /dev/null
+++ b/tests/resync.rs
@@ -0,0 +1,148 @@
+//! What an entry takes over from the one that reads for it.
+
+mod fixture;
+
+use cornellink::edge::directory::{Batch, Change, Feed, News};
+use cornellink::edge::stand_in::directory::StandInDirectory;
+use cornellink::prelude::*;
+use cornellink::process::gateway::sharing::update::Update;
+use cornellink::process::gateway::Gateway;
+use cornellink::version::registration::Registration;
+use fixture::gateway::{idempotent, settings, NAMING};
+use fixture::registry::{anywhere, eligible, table};
+
+/// A directory with routes and some targets, and what a snapshot of both holds.
+struct Deployment {
+    directory: StandInDirectory,
+}
+
+impl Deployment {
+    fn new(targets: &[&str]) -> Self {
+        let this = Self { directory: StandInDirectory::default() };
+        let table = table(1, vec![idempotent()]).expect("the route is valid");
+        this.directory.append(Feed::Routes, "config", News::Routes(Rc::new(table)));
+        targets.iter().for_each(|id| this.put(id, News::Target(anywhere(id))));
+        this
+    }
+
+    fn put(&self, id: &str, news: News) {
+        self.directory.append(Feed::Targets, id, news);
+    }
+
+    /// Lets a gateway read both feeds from the start.
+    fn read_all(&self, gateway: &Gateway) {
+        for feed in [Feed::Routes, Feed::Targets] {
+            let changes = self.directory.since_start(feed);
+            let batch = Batch { next: changes.len() as u64, changes };
+            match feed {
+                Feed::Routes => gateway.apply_routes(&self.directory, batch),
+                Feed::Targets => gateway.apply_targets(&self.directory, batch, false),
+            }
+            gateway.sharing.knowledge.borrow_mut().learn(feed, Instant::now());
+        }
+    }
+}
+
+fn gateway(name: &str) -> Gateway {
+    Gateway::new(settings(name, None), NAMING)
+}
+
+fn targets(gateway: &Gateway) -> Vec<String> {
+    eligible(&gateway.roster.borrow(), "s")
+}
+
+/// What the reader tells an entry that has just subscribed.
+fn first_update(reader: &Gateway, subscriber: &Gateway) -> Update {
+    reader.lacking_update(&subscriber.greeting())
+}
+
+/// Guards against a new subscription that costs a slow link all routes and targets again.
+#[test]
+fn subscriber_that_knows_all_gets_nothing() {
+    let deployment = Deployment::new(&["one", "two"]);
+    let (reader, subscriber) = (gateway("reader"), gateway("subscriber"));
+    deployment.read_all(&reader);
+    deployment.read_all(&subscriber);
+
+    let update = first_update(&reader, &subscriber);
+
+    assert!(!update.has_changes(), "{update:?}");
+    assert!(update.age.is_some());
+}
+
+/// Guards against a subscriber that starts with nothing and stays so.
+#[test]
+fn subscriber_that_knows_nothing_gets_all() {
+    let deployment = Deployment::new(&["one", "two"]);
+    let (reader, subscriber) = (gateway("reader"), gateway("subscriber"));
+    deployment.read_all(&reader);
+
+    subscriber.hear(&deployment.directory, &first_update(&reader, &subscriber));
+
+    assert_eq!(targets(&subscriber), ["one", "two"]);
+    assert!(subscriber.is_ready());
+}
+
+/// Guards against a target that left while an entry heard nothing, and stays there for good.
+#[test]
+fn target_that_left_meanwhile_is_gone_after_a_new_subscription() {
+    let deployment = Deployment::new(&["one", "two"]);
+    let (reader, subscriber) = (gateway("reader"), gateway("subscriber"));
+    deployment.read_all(&subscriber);
+    deployment.put("one", News::Removed);
+    deployment.read_all(&reader);
+
+    subscriber.hear(&deployment.directory, &first_update(&reader, &subscriber));
+
+    assert_eq!(targets(&subscriber), ["two"]);
+}
+
+/// Guards against a reader that knows less and takes away what its subscriber knows.
+#[test]
+fn reader_that_has_read_less_removes_nothing() {
+    let deployment = Deployment::new(&["one"]);
+    let (reader, subscriber) = (gateway("reader"), gateway("subscriber"));
+    deployment.read_all(&reader);
+    deployment.put("two", News::Target(anywhere("two")));
+    deployment.read_all(&subscriber);
+
+    subscriber.hear(&deployment.directory, &first_update(&reader, &subscriber));
+
+    assert_eq!(targets(&subscriber), ["one", "two"]);
+}
+
+/// Guards against rosters that have drifted apart unnoticed although both have read equally far.
+#[test]
+fn difference_at_the_same_offset_is_noticed() {
+    let deployment = Deployment::new(&["one", "two"]);
+    let (reader, subscriber) = (gateway("reader"), gateway("subscriber"));
+    deployment.read_all(&reader);
+    deployment.read_all(&subscriber);
+    let same = reader.complete(Update::default());
+    let newer = Registration { sequence: 9, ..anywhere("one") };
+    let change = Change { offset: 0, key: "one".into(), value: Bytes::from_static(b"x") };
+    let absence = cornellink::process::gateway::roster::Absence::Gone;
+    let news = News::Target(newer);
+    reader.roster.borrow_mut().apply(&change, &news, absence, Instant::now());
+    let other = reader.complete(Update::default());
+
+    assert!(!subscriber.differs(&same));
+    assert!(subscriber.differs(&other));
+}
+
+/// Guards against removals in a snapshot that an entry keeps to itself.
+#[test]
+fn removal_found_in_a_snapshot_is_passed_on() {
+    let deployment = Deployment::new(&["one", "two"]);
+    let (reader, subscriber) = (gateway("reader"), gateway("subscriber"));
+    deployment.read_all(&reader);
+    deployment.read_all(&subscriber);
+    let held = deployment.directory.since_start(Feed::Targets).split_off(1);
+    let batch = Batch { next: 5, changes: held };
+
+    reader.apply_targets(&deployment.directory, batch, true);
+    subscriber.hear(&deployment.directory, &first_update(&reader, &subscriber));
+
+    assert_eq!(targets(&reader), ["two"]);
+    assert_eq!(targets(&subscriber), ["two"]);
+}
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -6,6 +6,7 @@
 
 use cornellink::edge::directory::News;
 use cornellink::process::gateway::roster::{Absence, Effect, Roster};
+use cornellink::process::gateway::sharing::buckets::Buckets;
 use cornellink::version::registration::TargetState;
 use fixture::registry::{anywhere, change, eligible, report};
 
@@ -123,8 +124,9 @@
     report(&mut roster, 0, &anywhere("held"));
     report(&mut roster, 1, &anywhere("gone"));
 
-    let effects = roster.retain(&["held".into()].into(), Absence::Gone);
+    let effects = roster.retain(&["held".into()].into(), Buckets::ALL, Absence::Gone);
 
-    assert_eq!(effects, [("gone".into(), Effect::Removed)]);
+    let gone = effects.iter().map(|(last, effect)| (&*last.key, effect.clone()));
+    assert_eq!(gone.collect::<Vec<_>>(), [("gone", Effect::Removed)]);
     assert_eq!(eligible(&roster, "s"), ["held"]);
 }
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -1,14 +1,23 @@
 //! What entries share: the order of readers and the messages.
 
+mod fixture;
+
+use std::collections::BTreeMap;
+
 use cornellink::edge::directory::{Change, Listing};
 use cornellink::prelude::*;
+use cornellink::process::gateway::roster::{Absence, Roster};
+use cornellink::process::gateway::sharing::buckets::Buckets;
+use cornellink::process::gateway::sharing::greeting::Greeting;
 use cornellink::process::gateway::sharing::order::Order;
 use cornellink::process::gateway::sharing::update::Update;
+use cornellink::version::registration::Registration;
+use fixture::registry::{anywhere, report};
 use quickcheck::quickcheck;
 
 fn listing(name: &str, domain: &str) -> Listing {
     let address = SocketAddr::from(([127, 0, 0, 1], 9));
-    Listing { name: name.into(), domain: domain.into(), address }
+    Listing { name: name.into(), domain: domain.into(), address, link_mbps: 0 }
 }
 
 fn entries(domain: &str) -> Vec<Listing> {
@@ -75,22 +84,146 @@
     assert_eq!(first(&order, Instant::now()), "own");
 }
 
+/// Guards against a reader on a slow link while a faster one is there: its updates to all others
+/// of a large domain took seconds, in which each read the directory for itself.
+#[test]
+fn entries_with_fast_links_read_first() {
+    let mut all = entries("a");
+    all[3].link_mbps = 200;
+    all.iter_mut().filter(|entry| entry.link_mbps == 0).for_each(|entry| entry.link_mbps = 10);
+    let mut order = Order::default();
+    order.set(&all[0].clone(), all);
+
+    assert_eq!(first(&order, Instant::now()), "entry-3");
+}
+
+/// Guards against a reader that is gone for good and is tried every few seconds for ever.
+#[test]
+fn reader_that_fails_again_is_passed_over_for_longer() {
+    let now = Instant::now();
+    let mut order = Order::default();
+    order.set(&listing("entry-9", "a"), entries("a"));
+    let reader = first(&order, now);
+    let mut pauses = Vec::new();
+
+    let mut at = now;
+    for _ in 0..6 {
+        order.fail(&reader, at);
+        let next = first(&order, at);
+        let due = order.next_try(&next).unwrap();
+        pauses.push(due - at);
+        at = due;
+    }
+    order.succeed(&reader);
+
+    assert!(pauses[1] > pauses[0], "{pauses:?}");
+    assert!(pauses[5] <= Duration::from_secs(60), "{pauses:?}");
+    assert_eq!(first(&order, now), reader);
+}
+
+fn roster(targets: &[(&str, u64)]) -> Roster {
+    let mut roster = Roster::new(2);
+    for (offset, (id, sequence)) in targets.iter().enumerate() {
+        report(&mut roster, offset as u64, &Registration { sequence: *sequence, ..anywhere(id) });
+    }
+    roster
+}
+
+/// Guards against a new subscription that costs a slow link all targets, though both know almost
+/// the same.
+#[test]
+fn only_parts_that_differ_are_sent() {
+    let ids: Vec<String> = (0..400).map(|number| format!("target-{number}")).collect();
+    let known: Vec<(&str, u64)> = ids.iter().map(|id| (id.as_str(), 1)).collect();
+    let mut newer = known.clone();
+    newer[7].1 = 2;
+    newer.pop();
+
+    let (known, newer) = (roster(&known), roster(&newer));
+    let parts = Buckets::differing(&known.digests(), &newer.digests());
+    let sent = newer.changes(parts);
+
+    assert!(Buckets::differing(&known.digests(), &known.digests()).is_empty());
+    assert!(sent.iter().any(|change| &*change.key == "target-7"), "{parts:?}");
+    assert!(parts.contains("target-399"));
+    assert!(sent.len() < 60, "{} targets", sent.len());
+}
+
+/// Guards against an order of arrival that makes equal rosters look different.
+#[test]
+fn digests_do_not_depend_on_order() {
+    let one = roster(&[("a", 1), ("b", 2), ("c", 3)]);
+    let other = roster(&[("c", 3), ("a", 1), ("b", 2)]);
+
+    assert_eq!(one.digests(), other.digests());
+}
+
 quickcheck! {
+    /// After an update of the parts that differ, both rosters hold the same.
+    fn update_of_differing_parts_makes_rosters_equal(
+        left: Vec<(u8, u8)>, right: Vec<(u8, u8)>
+    ) -> bool {
+        let registered = |list: &[(u8, u8)]| {
+            let mut roster = Roster::new(2);
+            for (id, sequence) in list {
+                let (id, sequence) = (format!("t{id}"), u64::from(*sequence));
+                report(&mut roster, 0, &Registration { sequence, ..anywhere(&id) });
+            }
+            roster
+        };
+        let (mut known, told) = (registered(&left), registered(&right));
+        let parts = Buckets::differing(&known.digests(), &told.digests());
+
+        let mut newest = BTreeMap::new();
+        for (key, id) in told.service("s").map(|(_, member)| (member, &member.registration.id)) {
+            if parts.contains(id) {
+                newest.insert(id.clone(), key.registration.clone());
+            }
+        }
+        let held = newest.keys().cloned().collect();
+        known.retain(&held, parts, Absence::Gone);
+        for registration in newest.values() {
+            report(&mut known, 1, registration);
+        }
+
+        // A report that is older than the one known never counts.
+        let known: BTreeMap<_, _> = known
+            .service("s")
+            .map(|(_, member)| (member.registration.id.clone(), member.registration.sequence))
+            .collect();
+        told.service("s").all(|(_, member)| {
+            known.get(&member.registration.id) >= Some(&member.registration.sequence)
+        }) && known.len() == told.len()
+    }
+
+    /// A greeting means the same on both sides.
+    fn greetings_survive_the_wire(routes: Option<u64>, seed: u64) -> bool {
+        let digests = std::array::from_fn(|part| seed.wrapping_mul(part as u64 + 1));
+        let greeting = Greeting { routes, digests };
+        Greeting::decode(&greeting.encode()[4..]).unwrap() == greeting
+    }
+
+    /// Bytes that are no greeting are refused without a panic.
+    fn short_greetings_are_refused(bytes: Vec<u8>) -> bool {
+        Greeting::decode(&bytes).is_err()
+    }
+
     /// A message means the same on both sides.
     fn updates_survive_the_wire(
-        complete: bool, targets: Vec<(u64, String, Vec<u8>)>, next: Option<u64>, age: Option<u32>
+        complete: u64, targets: Vec<(u64, String, Vec<u8>)>, next: Option<u64>, age: Option<u32>
     ) -> bool {
         let targets: Vec<Change> = targets
             .into_iter()
             .map(|(offset, key, value)| Change { offset, key: key.into(), value: value.into() })
             .collect();
         let update = Update {
-            complete,
+            complete: Buckets(complete),
             routes: targets.first().cloned(),
             targets,
             routes_next: next,
             targets_next: next.map(|next| next / 2),
             age: age.map(|age| Duration::from_micros(u64::from(age))),
+            digest: complete.rotate_left(7),
         };
         Update::decode(&update.encode()[4..]).unwrap() == update
     }
