Start the split of a route at a random place in each entry

Cause: every entry started the sequence that splits calls at its first place, which belongs to the first service. Ruled out: entries without the newest version; all had it.

--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -110,6 +110,7 @@
         if self.table().is_some_and(|current| current.version >= table.version) {
             return false;
         }
+        table.scatter(&mut *self.rng.borrow_mut());
         let bounds = table.bounds;
         self.limits.set(Limits {
             head_bytes: bounds.head_bytes,
--- a/src/version/route.rs
+++ b/src/version/route.rs
@@ -23,7 +23,7 @@
     /// Rank among the routes of a service; 0 is the most urgent.
     pub priority: u32,
     pub shares: Vec<Share>,
-    /// Calls that have been assigned to a service so far.
+    /// Place of the next call in the sequence that splits calls among the services.
     pub assigned: Cell<u32>,
 }
 
--- a/src/version/route_table.rs
+++ b/src/version/route_table.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use rand::Rng;
+
 use super::route::Route;
 use super::Result;
 use crate::prelude::*;
@@ -65,6 +67,14 @@
         Ok(Self { version, bounds, hosts, services, priorities })
     }
 
+    /// Starts the split of every route at a place of its own.
+    ///
+    /// Entries that all started at the same place would send their first calls to the same
+    /// service, and in a large fleet most entries get only a few calls of a route.
+    pub fn scatter(&self, rng: &mut impl Rng) {
+        self.hosts.values().flatten().for_each(|route| route.assigned.set(rng.random()));
+    }
+
     /// The route with the longest prefix of the path among those of the host.
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let routes = self.hosts.get(&host_name(host).to_ascii_lowercase())?;
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -3,7 +3,10 @@
 mod fixture;
 
 use std::collections::HashMap;
+use std::rc::Rc;
 
+use cornellink::process::gateway::Gateway;
+use fixture::gateway::{settings, NAMING};
 use fixture::registry::{route, table};
 
 /// Guards against a short prefix that takes the calls of a longer one.
@@ -60,3 +63,21 @@
         assert!(error.contains(expected), "{error}");
     }
 }
+
+/// Guards against a large fleet whose entries all start with the same service: few of them get
+/// more than three calls of a route, so that the first service got 0.4 instead of 0.25 of them.
+#[test]
+fn few_calls_at_each_of_many_entries_follow_the_weights() {
+    let mut count = 0;
+    for number in 0..150 {
+        let gateway = Gateway::new(settings(&format!("entry-{number}"), None), NAMING);
+        let routes = vec![route("/a/", &[("s", 1), ("t", 3)])];
+        gateway.set_table(Rc::new(table(1, routes).unwrap()));
+        let table = gateway.table().unwrap();
+        let route = table.find("app.test", "/a/x").unwrap();
+        count += (0..3).filter(|_| &**route.assign() == "s").count();
+    }
+
+    let share = count as f64 / 450.0;
+    assert!((share - 0.25).abs() < 0.1, "{share}");
+}
