Keep a new connection that a full target lets wait, and ask again only among the targets in use

Each further look of a call went to targets beyond the 12 that the entry uses, so that entries opened connections to all of them. Ruled out: silent or dead targets (nearly all were answered within 250 ms) and connections closed by their targets (1,291). Also gone: Member.reading, which nothing read. COMPARE_TIME says what it counts. Tests: tests/choice.rs.

--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -26,6 +26,8 @@
     guard: Guard,
     limits: Limits,
     reusable: bool,
+    /// Whether the connection has carried an answer.
+    carried: bool,
     /// When the server may close the connection, if it has said so.
     expires: Option<Instant>,
 }
@@ -41,7 +43,8 @@
                 return Err(Error::Connect { address, source });
             }
         };
-        Ok(Self { address, guard: Guard::new(stream), limits, reusable: true, expires: None })
+        let guard = Guard::new(stream);
+        Ok(Self { address, guard, limits, reusable: true, carried: false, expires: None })
     }
 
     /// Sends a call and reads its whole answer.
@@ -79,6 +82,11 @@
         self.reusable && !expired && self.guard.is_quiet()
     }
 
+    /// Whether the connection has not carried an answer yet.
+    pub fn is_new(&self) -> bool {
+        !self.carried
+    }
+
     /// Whether the connection can carry another call.
     pub fn is_reusable(&self) -> bool {
         self.reusable
@@ -98,6 +106,7 @@
             let is_open =
                 framing.framing != Framing::UntilClose && !framing.doubtful && !head.close;
             if is_own(&answer) {
+                self.carried = true;
                 self.expires = expiry(&answer.headers);
                 self.reusable = is_open && is_whole && self.guard.unread() == 0;
                 return Ok(answer);
--- a/src/process/gateway/choice.rs
+++ b/src/process/gateway/choice.rs
@@ -29,6 +29,8 @@
     pub key: MemberKey,
     pub near: bool,
     pub doubtful: bool,
+    /// Whether the call has asked the target before.
+    pub asked: bool,
     /// Place among the candidates by rendezvous hashing with the entry.
     pub rank: u64,
 }
@@ -42,14 +44,18 @@
             key,
             near: &*registration.domain == domain,
             doubtful: member.is_doubtful(now),
+            asked: false,
             rank: xxh3_64_with_seed(registration.id.as_bytes(), seed),
         }
     }
 }
 
 /// Picks the targets to ask, near ones first; doubtful ones only for want of others.
+///
+/// A call that looks again stays among the targets that the entry uses: at a crest all calls look
+/// again, and connections to all targets of a large service would be opened and soon forgotten.
 pub fn to_ask(mut candidates: Vec<Candidate>, rng: &mut impl Rng) -> Vec<MemberKey> {
-    if candidates.iter().any(|candidate| !candidate.doubtful) {
+    if candidates.iter().any(|candidate| !candidate.doubtful && !candidate.asked) {
         candidates.retain(|candidate| !candidate.doubtful);
     }
     candidates.sort_by_key(|candidate| candidate.rank);
@@ -58,6 +64,8 @@
     let near_used = near.len().min(NEAR_USED.max(ALL_USED.saturating_sub(far.len())));
     near.truncate(near_used);
     far.truncate(ALL_USED - near_used);
+    near.retain(|candidate| !candidate.asked);
+    far.retain(|candidate| !candidate.asked);
     near.shuffle(rng);
     far.shuffle(rng);
     let near_asked = near.len().min(NEAR_ASKED.max(ALL_ASKED.saturating_sub(far.len())));
--- a/src/process/gateway/member.rs
+++ b/src/process/gateway/member.rs
@@ -1,6 +1,5 @@
 //! One registered target.
 
-use super::reading::Reading;
 use super::trouble::Trouble;
 use crate::edge::directory::Change;
 use crate::prelude::*;
@@ -25,7 +24,6 @@
     pub trouble: Trouble,
     /// Calls of this entry that run there.
     pub inflight: u32,
-    pub reading: Option<Reading>,
 }
 
 impl Member {
@@ -40,7 +38,6 @@
             lapse: None,
             trouble: Trouble::default(),
             inflight: 0,
-            reading: None,
         }
     }
 
--- a/src/process/gateway/probing.rs
+++ b/src/process/gateway/probing.rs
@@ -12,10 +12,12 @@
 use crate::request::relayed::Relayed;
 use crate::version::route_table::ServicePlan;
 
-/// Wait for further answers once a usable one has come.
+/// Time from the questions until a usable answer is taken without waiting for further ones.
 const COMPARE_TIME: Duration = Duration::from_millis(10);
 /// Longest wait for a target's answer.
 const ANSWER_TIME: Duration = Duration::from_millis(60);
+/// Longest further wait for the first answer on a new connection.
+const OPENING_TIME: Duration = Duration::from_millis(900);
 /// Pause before all targets are asked again.
 const ROUND_PAUSE: Duration = Duration::from_millis(12);
 /// Cost at which the answers of other targets are not waited for.
@@ -112,11 +114,11 @@
 fn candidates(gateway: &Gateway, service: &str, passed: &[MemberKey]) -> Vec<MemberKey> {
     let now = Instant::now();
     let (roster, settings) = (gateway.roster.borrow(), gateway.settings.borrow());
-    let members = roster
-        .service(service)
-        .filter(|(key, member)| member.is_eligible(now) && !passed.contains(key));
-    let candidates = members
-        .map(|(key, member)| Candidate::new(key, member, &settings.name, &settings.domain, now));
+    let members = roster.service(service).filter(|(_, member)| member.is_eligible(now));
+    let candidates = members.map(|(key, member)| Candidate {
+        asked: passed.contains(&key),
+        ..Candidate::new(key, member, &settings.name, &settings.domain, now)
+    });
     let mut keys = to_ask(candidates.collect(), &mut *gateway.rng.borrow_mut());
     drop(settings);
     drop(roster);
@@ -170,15 +172,11 @@
 async fn probe(gateway: Rc<Gateway>, key: MemberKey, plan: ServicePlan, sender: Tx<Heard>) {
     let Some((pool, id)) = find(&gateway, key) else { return };
     pool.set_limit(gateway.connection_limit(plan.connections));
-    let asked =
-        monoio::time::timeout(ANSWER_TIME, exchange(&gateway, &pool, &plan.probe_path)).await;
+    let outcome = exchange(&gateway, key, &pool, &plan.probe_path).await;
     let now = Instant::now();
-    let outcome = match asked {
-        Ok(Some((answer, lease))) => {
-            read(&gateway, &answer, &id, now).map(|reading| (reading, lease))
-        }
-        Ok(None) | Err(_) => None,
-    };
+    let outcome = outcome.and_then(|(answer, lease)| {
+        read(&gateway, &answer, &id, now).map(|reading| (reading, lease))
+    });
     let mut roster = gateway.roster.borrow_mut();
     let Some(member) = roster.get_mut(key) else { return };
     let Some((reading, lease)) = outcome else {
@@ -187,7 +185,6 @@
         log::debug!(target_id = &*id; "probe failed");
         return;
     };
-    member.reading = Some(reading);
     gateway.metrics.probe("answered");
     drop(roster);
     // A caller that has left no longer receives; the lease then returns to its pool.
@@ -200,13 +197,35 @@
     Some((member.pool.clone(), member.registration.id.clone()))
 }
 
-async fn exchange(gateway: &Gateway, pool: &Rc<Pool>, path: &str) -> Option<(Answer, Lease)> {
+/// Exchanges the probe on an idle connection or a new one.
+///
+/// A full target answers at once on a connection that it knows, but takes a new one only when a
+/// slot is free. Giving that connection up would cost the target another one soon.
+async fn exchange(
+    gateway: &Gateway,
+    key: MemberKey,
+    pool: &Rc<Pool>,
+    path: &str,
+) -> Option<(Answer, Lease)> {
     let call = Call::new(Method::GET, path.parse().ok()?);
-    let mut lease = pool.take().await.ok()?;
+    let mut lease = monoio::time::timeout(ANSWER_TIME, pool.take()).await.ok()?.ok()?;
+    let is_new = lease.is_new();
     // A response with a call's identifier is one that came late.
     let is_own = |answer: &Answer| !answer.headers.contains_key(gateway.naming.call_id);
-    let answer = lease.connection().exchange_own(&call, is_own).await.ok()?;
-    Some((answer, lease))
+    let mut answering = Box::pin(lease.connection().exchange_own(&call, is_own));
+    let answer = match monoio::time::timeout(ANSWER_TIME, &mut answering).await {
+        Ok(answer) => answer,
+        Err(_) if is_new => {
+            if let Some(member) = gateway.roster.borrow_mut().get_mut(key) {
+                member.trouble.refuse(Instant::now());
+            }
+            gateway.metrics.probe("late");
+            monoio::time::timeout(OPENING_TIME, &mut answering).await.ok()?
+        }
+        Err(_) => return None,
+    };
+    drop(answering);
+    Some((answer.ok()?, lease))
 }
 
 /// Reads a target's answer; one of another target is none.
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -160,6 +160,11 @@
         self.connection.as_ref().is_some_and(TargetConnection::is_open)
     }
 
+    /// Whether the connection has not carried an answer yet.
+    pub fn is_new(&self) -> bool {
+        self.connection.as_ref().is_some_and(TargetConnection::is_new)
+    }
+
     /// The pool of the connection.
     pub fn pool(&self) -> Rc<Pool> {
         self.pool.clone()
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -168,3 +168,47 @@
     assert!(Load::parse("8,3,8,100").unwrap().queue() <= 1.0);
     assert_eq!(Load::parse("7,0,8,100").unwrap().queue(), 0.0);
 }
+
+/// Guards against calls that look again at a crest and open connections to all targets of a large
+/// service, from every entry.
+#[test]
+fn calls_that_look_again_stay_among_the_used_targets() {
+    let roster = fleet(40, 80);
+    let mut candidates = candidates(&roster, "entry-1");
+    let used = asked(&candidates);
+
+    for candidate in &mut candidates {
+        candidate.asked = used.contains(&candidate.key);
+    }
+    let next = asked(&candidates);
+
+    assert!(next.is_empty(), "{} further targets", next.len());
+}
+
+/// Guards against a call that asks the same targets twice while others of its own are left.
+#[test]
+fn targets_that_were_asked_are_passed_over() {
+    let roster = fleet(10, 0);
+    let mut candidates = candidates(&roster, "entry-1");
+    for candidate in candidates.iter_mut().take(8) {
+        candidate.asked = true;
+    }
+
+    let next = asked(&candidates);
+
+    assert_eq!(next, candidates[8..].iter().map(|candidate| candidate.key).collect());
+}
+
+/// Guards against a call that finds no target for its repeat, though doubtful ones are left.
+#[test]
+fn doubtful_targets_are_asked_once_all_others_were() {
+    let roster = fleet(3, 0);
+    let mut candidates = candidates(&roster, "entry-1");
+    candidates[0].asked = true;
+    candidates[1].doubtful = true;
+    candidates[2].doubtful = true;
+
+    let next = asked(&candidates);
+
+    assert_eq!(next, candidates[1..].iter().map(|candidate| candidate.key).collect());
+}
