--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -202,3 +202,25 @@
     })
     .unwrap();
 }
+
+/// Guards against connections that are closed and opened again as long as a target is full, since
+/// a full target answers at once only on a connection that it knows.
+#[test]
+fn connection_that_a_full_target_lets_wait_is_kept() {
+    let target = ScriptedTarget::start("one", Script::SlowStart, FREE);
+    block_on(async move {
+        let gateway = TestGateway::start(idempotent(), &[("one", &target)]).await;
+
+        gateway.call("c-1").await;
+        let opened = target.connections();
+        monoio::time::sleep(Duration::from_millis(300)).await;
+        for id in ["c-2", "c-3", "c-4"] {
+            assert_eq!(gateway.call(id).await.status, StatusCode::OK);
+        }
+
+        // One for each look of the first call.
+        assert!((1..=2).contains(&opened), "{opened}");
+        assert_eq!(target.connections(), opened);
+    })
+    .unwrap();
+}
