Ask four near targets and a far one

Ruled out: no far target at all, since a domain that loses its targets must be noticed before calls queue.

--- a/src/process/gateway/choice.rs
+++ b/src/process/gateway/choice.rs
@@ -9,7 +9,7 @@
 use crate::prelude::*;
 
 /// Targets of the entry's own failure domain, and of others, that are asked for one call.
-const NEAR_ASKED: usize = 3;
+const NEAR_ASKED: usize = 4;
 const ALL_ASKED: usize = 5;
 /// Targets of a service that an entry uses, so that its connections stay warm in a large fleet.
 const NEAR_USED: usize = 8;
