Read before knowledge is stale, and ask targets with an idle connection first

Cause of calls to the store: after a change the reader of a domain pauses for 400 ms and then waits up to 900 ms for the next one. The wait is now cut by the pause before it and by the time that answers take. Ruled out: late updates; they took 2 ms. Cause of connections: a call in flight holds its connection, and a probe beside it opened another one to the same target. Such targets are now asked last. Tests: tests/knowledge.rs, tests/choice.rs.

--- a/src/process/gateway/choice.rs
+++ b/src/process/gateway/choice.rs
@@ -31,6 +31,8 @@
     pub doubtful: bool,
     /// Whether the call has asked the target before.
     pub asked: bool,
+    /// Whether all connections to the target are in use, so that asking it opens another one.
+    pub engaged: bool,
     /// Place among the candidates by rendezvous hashing with the entry.
     pub rank: u64,
 }
@@ -45,6 +47,7 @@
             near: &*registration.domain == domain,
             doubtful: member.is_doubtful(now),
             asked: false,
+            engaged: member.pool.is_engaged(),
             rank: xxh3_64_with_seed(registration.id.as_bytes(), seed),
         }
     }
@@ -66,8 +69,10 @@
     far.truncate(ALL_USED - near_used);
     near.retain(|candidate| !candidate.asked);
     far.retain(|candidate| !candidate.asked);
-    near.shuffle(rng);
-    far.shuffle(rng);
+    for candidates in [&mut near, &mut far] {
+        candidates.shuffle(rng);
+        candidates.sort_by_key(|candidate| candidate.engaged);
+    }
     let near_asked = near.len().min(NEAR_ASKED.max(ALL_ASKED.saturating_sub(far.len())));
     near.truncate(near_asked);
     far.truncate(ALL_ASKED - near_asked);
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -9,6 +9,7 @@
 
 use super::back_off::BackOff;
 use super::contact::Turn;
+use super::pace::Pace;
 use super::Gateway;
 use crate::edge::directory::{Directory, Feed, Read};
 use crate::prelude::*;
@@ -29,11 +30,13 @@
 
 async fn follow_targets(gateway: &Gateway, directory: &dyn Directory, regained: &Cell<u32>) {
     let mut back_off = BackOff::default();
+    let mut pace = Pace::default();
     loop {
         rest(gateway).await;
         let start = Instant::now();
         let next = gateway.next_targets.get();
-        match read(directory, Feed::Targets, next).await {
+        let wait = pace.wait(gateway.read.get().map_or(Duration::ZERO, |read| read.elapsed()));
+        match read(directory, Feed::Targets, next, wait).await {
             Ok(result) => {
                 back_off.succeed();
                 // An answer that waited for a change tells the state at its end.
@@ -47,6 +50,9 @@
                 gateway.sharing.knowledge.borrow_mut().learn(Feed::Targets, now);
                 match result {
                     Read::Batch(batch) => {
+                        if batch.changes.is_empty() {
+                            pace.learn(wait, start.elapsed());
+                        }
                         gateway.apply_targets(directory, batch, next.is_none());
                         gateway.purge();
                         monoio::time::sleep(TARGETS_PAUSE.saturating_sub(start.elapsed())).await;
@@ -76,7 +82,7 @@
         rest(gateway).await;
         let next = gateway.next_routes.get();
         let result = monoio::select! {
-            result = read(directory, Feed::Routes, next) => result,
+            result = read(directory, Feed::Routes, next, Feed::Routes.longest_wait()) => result,
             // The read may be one that the directory lost in its outage.
             () = changes_of(regained) => continue,
         };
@@ -135,14 +141,15 @@
     }
 }
 
-/// Reads what follows `next`, or a snapshot.
+/// Reads what follows `next` within `wait`, or a snapshot.
 async fn read(
     directory: &dyn Directory,
     feed: Feed,
     next: Option<u64>,
+    wait: Duration,
 ) -> crate::edge::Result<Read> {
     match next {
-        Some(next) => directory.changes(feed, next, feed.longest_wait()).await,
+        Some(next) => directory.changes(feed, next, wait).await,
         None => directory.snapshot(feed).await.map(Read::Batch),
     }
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod member;
 pub mod naming;
 pub mod overload;
+pub mod pace;
 pub mod probe_budget;
 pub mod probing;
 pub mod reading;
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -47,6 +47,11 @@
         self.limit.set(limit);
     }
 
+    /// Whether all connections that were opened are in use.
+    pub fn is_engaged(&self) -> bool {
+        self.open.get() > 0 && self.idle.borrow().is_empty()
+    }
+
     /// Number of connections that are open or being opened.
     pub fn open(&self) -> u32 {
         self.open.get()
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -212,3 +212,19 @@
 
     assert_eq!(next, candidates[1..].iter().map(|candidate| candidate.key).collect());
 }
+
+/// Guards against a second connection to a target while others have one that is idle: calls in
+/// flight hold theirs, and probes beside them opened a third of all connections.
+#[test]
+fn targets_without_an_idle_connection_are_asked_last() {
+    let roster = fleet(8, 0);
+    let mut candidates = candidates(&roster, "entry-1");
+    for candidate in candidates.iter_mut().take(3) {
+        candidate.engaged = true;
+    }
+
+    let keys = asked(&candidates);
+
+    let free: HashSet<MemberKey> = candidates[3..].iter().map(|candidate| candidate.key).collect();
+    assert_eq!(keys, free);
+}
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -4,6 +4,7 @@
 use cornellink::prelude::*;
 use cornellink::process::gateway::back_off::BackOff;
 use cornellink::process::gateway::contact::{Contact, Turn};
+use cornellink::process::gateway::pace::Pace;
 use cornellink::process::gateway::roster::Absence;
 use cornellink::process::gateway::sharing::knowledge::{Knowledge, START_PATIENCE};
 use cornellink::process::gateway::sharing::STALE_AGE;
@@ -118,3 +119,21 @@
         assert!(back_off.fail(is_awaited) <= pauses[0]);
     }
 }
+
+/// Guards against a reader whose knowledge grows stale whenever a change is followed by silence:
+/// the pause after the change and the longest wait together took longer than its subscribers wait,
+/// so that all of them read the directory.
+#[test]
+fn read_after_a_pause_ends_before_knowledge_is_stale() {
+    let mut pace = Pace::default();
+    for (since, overhead) in [(0, 10), (400, 10), (400, 320), (5000, 10)] {
+        pace.learn(ms(900), ms(900 + overhead));
+
+        let wait = pace.wait(ms(since));
+
+        let age = ms(since + overhead) + wait;
+        assert!(age < STALE_AGE || wait <= ms(100), "{since} ms, {overhead} ms: {wait:?}");
+        assert!(wait >= ms(100), "{wait:?}");
+    }
+    assert_eq!(Pace::default().wait(ms(0)), Feed::Targets.longest_wait());
+}
