--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -134,7 +134,7 @@
         let parts = Buckets::differing(&greeting.digests, &roster.digests());
         let routes = self.routes.borrow().clone();
         let update = Update {
-            complete: if self.filled.get() { parts } else { Buckets::NONE },
+            complete: if self.is_filled() { parts } else { Buckets::NONE },
             routes: routes.filter(|routes| greeting.routes < Some(routes.offset)),
             targets: roster.changes(parts),
             ..Update::default()
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -132,9 +132,14 @@
         self.filled.set(true);
     }
 
+    /// Whether the roster has held all targets of the directory.
+    pub fn is_filled(&self) -> bool {
+        self.filled.get()
+    }
+
     /// Whether the entry takes new callers.
     pub fn is_ready(&self) -> bool {
-        self.table.borrow().is_some() && self.filled.get() && !self.shutdown.is_requested()
+        self.table.borrow().is_some() && self.is_filled() && !self.shutdown.is_requested()
     }
 
     /// How many of `wanted` probes the budget allows.
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -224,3 +224,21 @@
     })
     .unwrap();
 }
+
+/// Guards against an entry that knows the routes a moment before the targets, and tells its callers
+/// that their service has no target.
+#[test]
+fn entry_that_does_not_know_the_targets_yet_is_not_ready() {
+    block_on(async move {
+        let gateway = TestGateway::empty();
+        let routes = table(1, vec![idempotent()]).unwrap();
+        gateway.gateway.set_table(Rc::new(routes));
+
+        let answer = relay(gateway.gateway.clone(), get("/a/x", "c-1", 1000)).await;
+
+        assert_eq!(answer.code(), Some(Code::NotReady));
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers.contains_key("retry-after"));
+    })
+    .unwrap();
+}
