Let entries that stand in for their readers back off in an outage

Cause: while the store is away for all, entries pass over one reader after the other and each ends up reading for itself; it then counted as one that others wait for and read four times a second. Now only an entry without anyone before it in the order, or that cannot serve yet, keeps the short pause. platform/tests/process.rs: passed three times.

--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -123,7 +123,7 @@
 ///
 /// Without it, all entries of a domain would press on a directory that is away.
 async fn pause(gateway: &Gateway, back_off: &mut BackOff) {
-    let is_awaited = gateway.sharing.is_own_reader() || !gateway.is_ready();
+    let is_awaited = gateway.sharing.is_awaited() || !gateway.is_ready();
     let pause = back_off.fail(is_awaited);
     monoio::time::sleep(gateway.spread(pause)).await;
 }
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -49,6 +49,8 @@
     pub reader: RefCell<Reader>,
     pub knowledge: RefCell<Knowledge>,
     pub subscribers: Subscribers,
+    /// Whether this entry reads only because those before it in the order have failed.
+    pub stands_in: Cell<bool>,
     /// Number of listed entries of all domains, if the list was read.
     pub entries: Cell<Option<usize>>,
     /// How much of the list of entries is known.
@@ -64,9 +66,9 @@
         }
     }
 
-    /// Whether this entry reads the directory for others.
-    pub fn is_own_reader(&self) -> bool {
-        *self.reader.borrow() == Reader::Own
+    /// Whether others wait for what this entry reads from the directory.
+    pub fn is_awaited(&self) -> bool {
+        *self.reader.borrow() == Reader::Own && !self.stands_in.get()
     }
 
     /// Takes note that the directory has answered about the list.
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -113,6 +113,8 @@
     loop {
         let first = order.borrow().first(Instant::now()).cloned();
         let Some(reader) = first.filter(|first| first.name != own.name) else {
+            let stands_in = order.borrow().next_try(&own.name).is_some();
+            gateway.sharing.stands_in.set(stands_in);
             gateway.sharing.set_reader(Reader::Own);
             monoio::time::sleep(LOOK).await;
             continue;
