--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -10,9 +10,11 @@
 pub mod frame;
 pub mod greeting;
 pub mod knowledge;
+pub mod list;
 pub mod order;
 pub mod publish;
 pub mod subscribe;
+pub mod subscription;
 pub mod update;
 
 use self::knowledge::Knowledge;
--- /dev/null
+++ b/src/process/gateway/sharing/subscription.rs
@@ -0,0 +1,110 @@
+//! One subscription to the entry that reads the directory.
+
+use monoio::io::AsyncWriteRentExt;
+use monoio::net::TcpStream;
+
+use super::update::{Update, FORMAT};
+use super::{Reader, STALE_AGE};
+use crate::edge::directory::{Directory, Listing};
+use crate::prelude::*;
+use crate::process::gateway::Gateway;
+
+/// Longest wait for a connection to another entry.
+const CONNECT_TIME: Duration = Duration::from_millis(150);
+/// Silence after which a reader is given up.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// Time for which the same reading may lead to different targets before all is compared again.
+const DIFFERENCE_TIME: Duration = Duration::from_secs(1);
+/// Reason for which a reader is given up that knows too little.
+pub const STALE: &str = "stale";
+
+/// How a subscription ended.
+pub enum Ended {
+    /// An entry that comes before the reader may be tried again.
+    Due,
+    /// This entry and the reader know different targets.
+    Differs,
+    Failed {
+        reason: &'static str,
+        /// Whether the reader has told fresh news before.
+        has_told: bool,
+    },
+}
+
+/// A subscription to the entry that reads.
+pub struct Subscription<'a> {
+    pub gateway: &'a Rc<Gateway>,
+    pub directory: &'a dyn Directory,
+    pub reader: &'a Listing,
+    /// When an entry that comes before the reader may be tried again.
+    pub until: Option<Instant>,
+    /// Time for which the reader may know too little while this entry cannot read either.
+    pub patience: Duration,
+}
+
+impl Subscription<'_> {
+    /// Follows the reader until it fails or another one should be tried.
+    pub async fn follow(&self) -> Ended {
+        let mut has_told = false;
+        match self.connect().await {
+            Some(mut stream) => {
+                self.gateway.sharing.set_reader(Reader::Other(self.reader.name.clone()));
+                let ended = self.hear(&mut stream, &mut has_told).await;
+                ended.unwrap_or_else(|reason| Ended::Failed { reason, has_told })
+            }
+            None => Ended::Failed { reason: "no connection", has_told },
+        }
+    }
+
+    /// Connects and says what this entry knows.
+    async fn connect(&self) -> Option<TcpStream> {
+        let connect = TcpStream::connect_addr(self.reader.address);
+        let mut stream = monoio::time::timeout(CONNECT_TIME, connect).await.ok()?.ok()?;
+        let _ = stream.set_nodelay(true);
+        let mut message = vec![FORMAT];
+        message.extend_from_slice(&self.gateway.greeting().encode());
+        stream.write_all(message).await.0.ok()?;
+        Some(stream)
+    }
+
+    /// Takes over updates until the reader is no longer the one to follow.
+    async fn hear(
+        &self,
+        stream: &mut TcpStream,
+        has_told: &mut bool,
+    ) -> std::result::Result<Ended, &'static str> {
+        let mut good = Instant::now();
+        let mut differing: Option<Instant> = None;
+        loop {
+            let read = monoio::time::timeout(SILENCE, Update::read(stream)).await;
+            let update = read.map_err(|_| "silent")?.map_err(|_| "connection lost")?;
+            self.gateway.hear(self.directory, &update);
+            let now = Instant::now();
+            if update.age.is_some_and(|age| age <= STALE_AGE) {
+                good = now;
+                *has_told = true;
+            } else if self.is_stale(&update, good.elapsed()) {
+                return Err(STALE);
+            }
+            if !self.gateway.differs(&update) {
+                differing = None;
+            } else if differing.get_or_insert(now).elapsed() >= DIFFERENCE_TIME {
+                return Ok(Ended::Differs);
+            }
+            if self.until.is_some_and(|until| now >= until) {
+                return Ok(Ended::Due);
+            }
+        }
+    }
+
+    /// Whether to pass over a reader that has told nothing fresh for some time.
+    ///
+    /// One that the directory refuses tells that it knows less and less. If this entry reads well,
+    /// it needs no proof; otherwise the directory may be away for all. A reader that knows nothing
+    /// has perhaps just started.
+    fn is_stale(&self, update: &Update, span: Duration) -> bool {
+        let is_telling = update.age.is_some() || span > SILENCE;
+        let reads_better = self.gateway.reads_better(update.age);
+        is_telling && (reads_better || (self.gateway.is_failing() && span >= self.patience))
+    }
+}
