Notice lost reads soon, and pause no longer than a change may take

Ruled out: the reader, which had each version within 3 ms; a slow VM. Now a read is given up 600 ms after its own wait, waits are 100 ms while reads fail, the longest pause is 0.9 s with its spread, and the routes' feed, which pauses twice as long while the targets fail, goes on when they return.

--- a/src/connection/client.rs
+++ b/src/connection/client.rs
@@ -24,7 +24,12 @@
 
     /// Sends a call and reads its answer.
     pub async fn call(&self, call: &Call) -> Result<Answer> {
-        monoio::time::timeout(self.timeout, self.exchange(call))
+        self.call_within(call, self.timeout).await
+    }
+
+    /// Like `call`, with a timeout of its own.
+    pub async fn call_within(&self, call: &Call, timeout: Duration) -> Result<Answer> {
+        monoio::time::timeout(timeout, self.exchange(call))
             .await
             .unwrap_or(Err(Error::PlatformTimeout))
     }
--- a/src/process/gateway/back_off.rs
+++ b/src/process/gateway/back_off.rs
@@ -7,8 +7,8 @@
 /// Longest pause of an entry that others wait for, or that cannot serve yet.
 const AWAITED_PAUSE: Duration = Duration::from_millis(500);
 /// Longest pause of an entry to which another one should tell the directory's return. Changes must
-/// be in force 2 s after it, also if nobody tells.
-const OTHER_PAUSE: Duration = Duration::from_millis(1200);
+/// be in force 2 s after it, also if nobody tells and the last read before it was lost.
+const OTHER_PAUSE: Duration = Duration::from_millis(600);
 /// Most doublings.
 const MAX_DOUBLINGS: u32 = 8;
 
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -17,6 +17,10 @@
 /// Shortest time between two reads of the targets' feed when it changes all the time. A draining
 /// target may get calls for as long.
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
+/// Wait of a read of the routes after one that failed, so that a lost one is noticed soon.
+const PROOF_WAIT: Duration = Duration::from_millis(100);
+/// Factor on the pause of the routes' feed while the targets' feed fails, whose return ends it.
+const ROUTES_FACTOR: u32 = 2;
 /// Time between two looks whether the news that another entry tells are still fresh.
 const REST_LOOK: Duration = Duration::from_millis(25);
 
@@ -70,7 +74,8 @@
                 }
                 gateway.purge();
                 gateway.tell_age();
-                pause(gateway, &mut back_off).await;
+                let pause = pause(gateway, &mut back_off);
+                monoio::time::sleep(pause).await;
             }
         }
     }
@@ -81,8 +86,9 @@
     loop {
         rest(gateway).await;
         let next = gateway.next_routes.get();
+        let wait = if back_off.is_failing() { PROOF_WAIT } else { Feed::Routes.longest_wait() };
         let result = monoio::select! {
-            result = read(directory, Feed::Routes, next, Feed::Routes.longest_wait()) => result,
+            result = read(directory, Feed::Routes, next, wait) => result,
             // The read may be one that the directory lost in its outage.
             () = changes_of(regained) => continue,
         };
@@ -104,7 +110,14 @@
                 if !back_off.is_failing() {
                     log::warn!(feed = "routes", error:% = error; "directory lost");
                 }
-                pause(gateway, &mut back_off).await;
+                let pause = pause(gateway, &mut back_off);
+                match gateway.is_failing() {
+                    true => monoio::select! {
+                        () = monoio::time::sleep(pause * ROUTES_FACTOR) => {},
+                        () = changes_of(regained) => {},
+                    },
+                    false => monoio::time::sleep(pause).await,
+                }
             }
         }
     }
@@ -119,13 +132,12 @@
     }
 }
 
-/// Pauses after a failed read, longer after each, unless another entry tells fresh news.
+/// The pause after a failed read, longer after each.
 ///
 /// Without it, all entries of a domain would press on a directory that is away.
-async fn pause(gateway: &Gateway, back_off: &mut BackOff) {
+fn pause(gateway: &Gateway, back_off: &mut BackOff) -> Duration {
     let is_awaited = gateway.sharing.is_awaited() || !gateway.is_ready();
-    let pause = back_off.fail(is_awaited);
-    monoio::time::sleep(gateway.spread(pause)).await;
+    gateway.spread(back_off.fail(is_awaited))
 }
 
 /// Waits as long as another entry tells fresh news.
--- a/tests/knowledge.rs
+++ b/tests/knowledge.rs
@@ -113,8 +113,9 @@
         let pauses: Vec<Duration> = (0..20).map(|_| back_off.fail(is_awaited)).collect();
 
         assert!(pauses[1] > pauses[0], "{pauses:?}");
-        // Half as much again at most, by the spread.
-        assert!(pauses.iter().all(|pause| *pause * 3 / 2 < ms(2000)), "{pauses:?}");
+        // A read that is lost with the directory's return takes 700 ms, and the spread adds half
+        // of the pause at most.
+        assert!(pauses.iter().all(|pause| *pause * 3 / 2 + ms(700) < ms(2000)), "{pauses:?}");
         assert!(back_off.succeed());
         assert!(back_off.fail(is_awaited) <= pauses[0]);
     }
