Keep the roster's digests as it changes, and build the full message only once

The roster now takes a target in or out of its digests when it changes; a property test compares them with the targets that are there. A subscriber that knows no routes gets the shared full message at once; before, the whole roster was copied only to learn that something was lacking. `Contact::age` had no caller.

--- a/src/process/gateway/contact.rs
+++ b/src/process/gateway/contact.rs
@@ -59,11 +59,6 @@
         self.failing
     }
 
-    /// Age of what the last successful read told.
-    pub fn age(&self, now: Instant) -> Option<Duration> {
-        self.good.map(|good| now.saturating_duration_since(good))
-    }
-
     /// How the absence of an entry is read at `now`.
     pub fn absence(&self, now: Instant) -> Absence {
         match self.returned.map(|returned| returned + RETURN_TIME) {
--- a/src/process/gateway/roster.rs
+++ b/src/process/gateway/roster.rs
@@ -44,13 +44,13 @@
 }
 
 /// All registered targets.
-#[derive(Default)]
 pub struct Roster {
     members: SlotMap<MemberKey, Member>,
     ids: HashMap<Rc<str>, MemberKey>,
     services: HashMap<Rc<str>, Vec<MemberKey>>,
     /// Order of the last report of removed targets.
     removed: HashMap<Rc<str>, (u64, u64)>,
+    digests: Digests,
     /// Most connections to one target.
     connections: u32,
 }
@@ -58,7 +58,14 @@
 impl Roster {
     /// An empty roster; at most `connections` are opened to one target.
     pub fn new(connections: u32) -> Self {
-        Self { connections, ..Self::default() }
+        Self {
+            members: SlotMap::default(),
+            ids: HashMap::default(),
+            services: HashMap::default(),
+            removed: HashMap::default(),
+            digests: [0; buckets::COUNT],
+            connections,
+        }
     }
 
     /// A target.
@@ -90,11 +97,7 @@
 
     /// Digests by which another entry sees whether it knows the same.
     pub fn digests(&self) -> Digests {
-        let mut digests = [0; buckets::COUNT];
-        for member in self.members.values() {
-            digests[buckets::of(&member.registration.id)] ^= buckets::digest(&member.registration);
-        }
-        digests
+        self.digests
     }
 
     /// Number of targets.
@@ -189,6 +192,8 @@
             known.state == TargetState::Ready && registration.state == TargetState::Draining;
         member.change = change.clone();
         member.warm = now + registration.warmup;
+        buckets::toggle(&mut self.digests, &member.registration);
+        buckets::toggle(&mut self.digests, registration);
         member.registration = registration.clone();
         match (drains, member.lapse.take()) {
             (true, _) => Effect::Drains,
@@ -218,6 +223,7 @@
     }
 
     fn add(&mut self, registration: Registration, change: Change, now: Instant) {
+        buckets::toggle(&mut self.digests, &registration);
         let (id, service) = (registration.id.clone(), registration.service.clone());
         let key = self.members.insert(Member::new(registration, change, self.connections, now));
         self.ids.insert(id, key);
@@ -228,6 +234,7 @@
         let Some(key) = self.ids.remove(id) else { return };
         let Some(member) = self.members.remove(key) else { return };
         let registration = member.registration;
+        buckets::toggle(&mut self.digests, &registration);
         if let Some(keys) = self.services.get_mut(&registration.service) {
             keys.retain(|other| *other != key);
         }
--- a/src/process/gateway/sharing/buckets.rs
+++ b/src/process/gateway/sharing/buckets.rs
@@ -26,6 +26,11 @@
     xxh3_64_with_seed(registration.id.as_bytes(), seed)
 }
 
+/// Takes a target into the digests, or out of them again.
+pub fn toggle(digests: &mut Digests, registration: &Registration) {
+    digests[of(&registration.id)] ^= digest(registration);
+}
+
 /// A digest of all parts.
 pub fn total(digests: &Digests) -> u64 {
     digests.iter().fold(0, |total, digest| total ^ digest)
--- a/src/process/gateway/sharing/publish.rs
+++ b/src/process/gateway/sharing/publish.rs
@@ -111,11 +111,12 @@
 
 /// What a new subscriber lacks, and how old the entry's knowledge is.
 fn first(gateway: &Gateway, greeting: &Greeting) -> Vec<Bytes> {
-    let lack = gateway.lacking_update(greeting);
-    let lack = match (lack.has_changes(), greeting.routes) {
-        (false, _) => None,
-        (true, None) => Some(gateway.sharing.subscribers.full(|| gateway.full_update())),
-        (true, Some(_)) => Some(Update { age: None, ..lack }.encode()),
+    let lack = match greeting.routes {
+        None => Some(gateway.sharing.subscribers.full(|| gateway.full_update())),
+        Some(_) => {
+            let lack = Update { age: None, ..gateway.lacking_update(greeting) };
+            lack.has_changes().then(|| lack.encode())
+        }
     };
     lack.into_iter().chain([gateway.complete(Update::default()).encode()]).collect()
 }
--- a/tests/roster.rs
+++ b/tests/roster.rs
@@ -6,9 +6,10 @@
 
 use cornellink::edge::directory::News;
 use cornellink::process::gateway::roster::{Absence, Effect, Roster};
-use cornellink::process::gateway::sharing::buckets::Buckets;
+use cornellink::process::gateway::sharing::buckets::{self, Buckets};
 use cornellink::version::registration::TargetState;
 use fixture::registry::{anywhere, change, eligible, report};
+use quickcheck::quickcheck;
 
 fn removal(roster: &mut Roster, offset: u64, id: &str, absence: Absence) -> Effect {
     roster.apply(&change(offset, id), &News::Removed, absence, Instant::now())
@@ -130,3 +131,30 @@
     assert_eq!(gone.collect::<Vec<_>>(), [("gone", Effect::Removed)]);
     assert_eq!(eligible(&roster, "s"), ["held"]);
 }
+
+quickcheck! {
+    /// The digests tell of the targets that are there, whatever happened to them before.
+    fn digests_follow_every_change(steps: Vec<(u8, u8)>) -> bool {
+        let mut roster = Roster::new(4);
+        for (offset, (id, step)) in steps.iter().enumerate() {
+            let id = format!("t{}", id % 8);
+            let mut target = anywhere(&id);
+            target.sequence = offset as u64;
+            target.born += u64::from(step / 64);
+            match step % 4 {
+                0 => removal(&mut roster, offset as u64, &id, Absence::Gone),
+                1 => {
+                    target.state = TargetState::Draining;
+                    report(&mut roster, offset as u64, &target)
+                }
+                _ => report(&mut roster, offset as u64, &target),
+            };
+        }
+
+        let mut expected = [0; buckets::COUNT];
+        for (_, member) in roster.service("s") {
+            buckets::toggle(&mut expected, &member.registration);
+        }
+        roster.digests() == expected
+    }
+}
