Let one entry read the store for all domains, and deputies before its subscribers must

Cause: calls to the store were the largest price beside the VMs on the grown sites. Each domain had a reader of its own, all of which read the same.

The first entry of each other domain now follows the first of all; the order is one for all entries, so that nobody waits in a circle (property test). The entry behind the reader and the first of each domain read from an age of 1.05 s on, the others turn to them from 1.2 s on and read from 1.3 s on as before. A read that is overdue by 75 ms is repeated beside the first. A reader that knows less than its subscriber is left at once, also if it is tried again after its pause. Reads are counted.

The check that entries of another domain never read for this one is replaced: exactly one entry of a domain follows another domain, at most three are tried, and exactly one entry reads. tests/deputies.rs fails with DEPUTY_AGE at 1.29 s, and its second test without the comparison of knowledge.

Changed check: the pace of reads is held to the deputies' age, which is shorter.

--- a/src/process/gateway/admin.rs
+++ b/src/process/gateway/admin.rs
@@ -27,7 +27,7 @@
         "directoryAgeMs": age.map(|age| age.as_millis() as u64),
         "reader": match &*gateway.sharing.reader.borrow() {
             Reader::Own => settings.name.clone(),
-            Reader::Other(name) => name.clone(),
+            Reader::Other { name, .. } => name.clone(),
         },
         "subscribers": gateway.sharing.subscribers.len(),
         "inflight": gateway.shutdown.inflight(),
--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -6,7 +6,7 @@
 use super::sharing::buckets::{self, Buckets};
 use super::sharing::greeting::Greeting;
 use super::sharing::update::Update;
-use super::sharing::STALE_AGE;
+use super::sharing::TURN_AGE;
 use super::Gateway;
 use crate::edge::directory::{Batch, Change, Directory, Feed, News};
 use crate::prelude::*;
@@ -99,10 +99,10 @@
             && update.digest != buckets::total(&self.roster.borrow().digests())
     }
 
-    /// Whether this entry reads the directory while the one that should knows too little.
-    pub fn reads_better(&self, told: Option<Duration>) -> bool {
-        let own = self.read.get().is_some_and(|read| read.elapsed() < STALE_AGE);
-        own && told.is_none_or(|age| age > STALE_AGE)
+    /// Whether this entry's knowledge is fresh, from wherever, while the reader's is old.
+    pub fn knows_better(&self, told: Option<Duration>) -> bool {
+        let rest = self.sharing.knowledge.borrow().rest(TURN_AGE, Instant::now());
+        !rest.is_zero() && self.is_filled() && told.is_none_or(|age| age > TURN_AGE)
     }
 
     /// Whether this entry's own last read of the targets failed.
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -10,7 +10,8 @@
 use super::back_off::BackOff;
 use super::contact::Turn;
 use super::pace::Pace;
-use super::Gateway;
+use super::{overdue, Gateway};
+use crate::edge;
 use crate::edge::directory::{Directory, Feed, Read};
 use crate::prelude::*;
 
@@ -39,8 +40,13 @@
         rest(gateway).await;
         let start = Instant::now();
         let next = gateway.next_targets.get();
-        let wait = pace.wait(gateway.read.get().map_or(Duration::ZERO, |read| read.elapsed()));
-        match read(directory, Feed::Targets, next, wait).await {
+        let wait = pace.wait(gateway.read.get().map(|read| read.elapsed()));
+        let result = match next {
+            Some(next) => overdue::read(directory, Feed::Targets, next, wait, pace.slack()).await,
+            None => directory.snapshot(Feed::Targets).await.map(Read::Batch),
+        };
+        count(gateway, Feed::Targets, &result);
+        match result {
             Ok(result) => {
                 back_off.succeed();
                 // An answer that waited for a change tells the state at its end.
@@ -88,10 +94,11 @@
         let next = gateway.next_routes.get();
         let wait = if back_off.is_failing() { PROOF_WAIT } else { Feed::Routes.longest_wait() };
         let result = monoio::select! {
-            result = read(directory, Feed::Routes, next, wait) => result,
+            result = read_routes(directory, next, wait) => result,
             // The read may be one that the directory lost in its outage.
             () = changes_of(regained) => continue,
         };
+        count(gateway, Feed::Routes, &result);
         match result {
             Ok(result) => {
                 if back_off.succeed() {
@@ -153,19 +160,23 @@
     }
 }
 
-/// Reads what follows `next` within `wait`, or a snapshot.
-async fn read(
+/// Reads the routes that follow `next` within `wait`, or a snapshot.
+async fn read_routes(
     directory: &dyn Directory,
-    feed: Feed,
     next: Option<u64>,
     wait: Duration,
-) -> crate::edge::Result<Read> {
+) -> edge::Result<Read> {
     match next {
-        Some(next) => directory.changes(feed, next, wait).await,
-        None => directory.snapshot(feed).await.map(Read::Batch),
+        Some(next) => directory.changes(Feed::Routes, next, wait).await,
+        None => directory.snapshot(Feed::Routes).await.map(Read::Batch),
     }
 }
 
+fn count(gateway: &Gateway, feed: Feed, result: &edge::Result<Read>) {
+    let outcome = if result.is_ok() { "answered" } else { "failed" };
+    gateway.metrics.directory_read(feed.name(), outcome);
+}
+
 fn note_gap(feed: Feed, next: Option<u64>) {
     log::info!(feed = feed.name(), from = next.unwrap_or_default(); "changes were dropped");
 }
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod follower;
 pub mod member;
 pub mod naming;
+pub mod overdue;
 pub mod overload;
 pub mod pace;
 pub mod probe_budget;
--- a/src/process/gateway/sharing/knowledge.rs
+++ b/src/process/gateway/sharing/knowledge.rs
@@ -1,6 +1,5 @@
 //! How old an entry's knowledge of the directory is.
 
-use super::STALE_AGE;
 use crate::edge::directory::Feed;
 use crate::prelude::*;
 
@@ -49,10 +48,10 @@
         self.learn(Feed::Targets, moment);
     }
 
-    /// How long the knowledge is still fresh.
-    pub fn rest(&self, now: Instant) -> Duration {
+    /// How long the knowledge is still younger than `limit`.
+    pub fn rest(&self, limit: Duration, now: Instant) -> Duration {
         match (self.age(now), self.patient_until) {
-            (Some(age), _) => STALE_AGE.saturating_sub(age),
+            (Some(age), _) => limit.saturating_sub(age),
             (None, Some(until)) => until.saturating_duration_since(now),
             (None, None) => Duration::ZERO,
         }
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -1,10 +1,14 @@
-//! Entries of a failure domain share what one of them reads from the directory.
+//! Entries share what one of them reads from the directory.
 //!
-//! The entries of a domain agree on an order: the widest links first, then by hashed names. The
-//! first one that answers reads the directory; the others subscribe to it and say what they know,
-//! so that they get only what they lack. Every update states how old the reader's
-//! knowledge is, and an entry whose knowledge is older than `STALE_AGE` reads for itself, whatever
-//! the reason. Different views of the order therefore cost further reads, never correctness.
+//! All entries agree on an order: the widest links first, then by hashed names. The first one that
+//! answers reads the directory. The first one of each other failure domain subscribes to it, and the
+//! others to the first one of their own domain, so that news cross domains once. Subscribers say
+//! what they know and get only what they lack.
+//!
+//! Every update states how old the reader's knowledge is. When it grows old, whatever the reason, the
+//! deputies read for themselves first: the entry behind the reader, and the first one of each other
+//! domain. The other subscribers turn to them, and read for themselves only if that does not help.
+//! Different views of the order therefore cost further reads, never correctness.
 
 pub mod buckets;
 pub mod frame;
@@ -21,6 +25,10 @@
 use self::publish::Subscribers;
 use crate::prelude::*;
 
+/// Age of a deputy's knowledge from which on it reads the directory itself.
+pub const DEPUTY_AGE: Duration = Duration::from_millis(1050);
+/// Age of an entry's knowledge from which on it turns to another reader.
+pub const TURN_AGE: Duration = Duration::from_millis(1200);
 /// Age of an entry's knowledge from which on it reads the directory itself.
 pub const STALE_AGE: Duration = Duration::from_millis(1300);
 
@@ -30,8 +38,11 @@
     /// The entry itself.
     #[default]
     Own,
-    /// The entry of that name.
-    Other(String),
+    Other {
+        name: String,
+        /// Whether others turn to this entry when that one fails.
+        is_deputy: bool,
+    },
 }
 
 /// How much an entry knows of the list of entries.
@@ -62,9 +73,11 @@
 impl Sharing {
     /// How long the entry may go on without a read of its own; zero if it must read now.
     pub fn rest(&self, now: Instant) -> Duration {
+        let knowledge = self.knowledge.borrow();
         match &*self.reader.borrow() {
             Reader::Own => Duration::ZERO,
-            Reader::Other(_) => self.knowledge.borrow().rest(now),
+            Reader::Other { is_deputy: true, .. } => knowledge.rest(DEPUTY_AGE, now),
+            Reader::Other { is_deputy: false, .. } => knowledge.rest(STALE_AGE, now),
         }
     }
 
@@ -85,8 +98,11 @@
         }
         match &reader {
             Reader::Own => log::info!("this entry reads the directory"),
-            Reader::Other(name) => {
-                log::info!(reader = name.as_str(); "another entry reads the directory")
+            Reader::Other { name, is_deputy } => {
+                log::info!(
+                    reader = name.as_str(), is_deputy;
+                    "another entry reads the directory"
+                )
             }
         }
         self.reader.replace(reader);
--- a/src/process/gateway/sharing/order.rs
+++ b/src/process/gateway/sharing/order.rs
@@ -1,4 +1,4 @@
-//! The order in which the entries of a failure domain are asked to read for the others.
+//! The order in which other entries are asked for what they read.
 
 use std::cmp::Reverse;
 use std::collections::HashMap;
@@ -12,8 +12,13 @@
 const PAUSE: Duration = Duration::from_secs(5);
 /// Most doublings of the pause.
 const MAX_DOUBLINGS: u32 = 3;
+/// Most entries of other failure domains that are asked before this one reads for itself.
+const MAX_FAR: usize = 3;
 
-/// The entries of the own failure domain, and which of them failed.
+/// The entries that come before the own one, which is the last, and which of them failed.
+///
+/// Those of the own failure domain come first. All entries sort by the same key, so that no two
+/// wait for each other, whatever has failed for whom.
 #[derive(Debug, Default)]
 pub struct Order {
     entries: Vec<Listing>,
@@ -42,16 +47,17 @@
         self.entries.push(own.clone());
     }
 
-    /// Takes over a list; entries of other domains do not matter.
-    pub fn set(&mut self, own: &Listing, listings: Vec<Listing>) {
-        self.entries = listings;
-        self.entries.retain(|entry| entry.domain == own.domain && entry.name != own.name);
+    /// Takes over a list.
+    pub fn set(&mut self, own: &Listing, mut listings: Vec<Listing>) {
+        listings.retain(|entry| rank(entry) < rank(own));
+        listings.sort_by(|left, right| rank(left).cmp(&rank(right)));
+        let (near, far): (Vec<_>, Vec<_>) =
+            listings.into_iter().partition(|entry| entry.domain == own.domain);
+        self.entries = near;
+        self.entries.extend(far.into_iter().take(MAX_FAR));
         self.entries.push(own.clone());
         let is_listed = |name: &String| self.entries.iter().any(|entry| entry.name == *name);
         self.failed.retain(|name, _| is_listed(name));
-        let hash = |entry: &Listing| xxh3_64(entry.name.as_bytes());
-        self.entries
-            .sort_by_key(|entry| (Reverse(entry.link_mbps), hash(entry), entry.name.clone()));
     }
 
     /// The first entry that did not fail lately; the own one if there is no other.
@@ -59,6 +65,17 @@
         self.entries.iter().find(|entry| self.failed_until(entry).is_none_or(|until| now >= until))
     }
 
+    /// Whether the own entry is the next one of its failure domain behind the reader, so that the
+    /// entries behind it turn to it when the reader fails.
+    pub fn is_deputy(&self, reader: &Listing, now: Instant) -> bool {
+        let Some((own, before)) = self.entries.split_last() else { return false };
+        let is_usable = |entry: &&Listing| {
+            let until = self.failed_until(entry);
+            entry.domain == own.domain && until.is_none_or(|until| now >= until)
+        };
+        before.iter().rfind(is_usable).is_none_or(|last| last.name == reader.name)
+    }
+
     /// When an entry before `name` may be tried again.
     pub fn next_try(&self, name: &str) -> Option<Instant> {
         let before = self.entries.iter().take_while(|entry| entry.name != name);
@@ -82,3 +99,8 @@
         self.failed.get(&entry.name).map(|failure| failure.until)
     }
 }
+
+/// The place of an entry: the widest links first, and otherwise one that depends on the name alone.
+fn rank(entry: &Listing) -> (Reverse<u32>, u64, &str) {
+    (Reverse(entry.link_mbps), xxh3_64(entry.name.as_bytes()), &entry.name)
+}
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -32,7 +32,7 @@
         false => START_PATIENCE,
     };
     gateway.sharing.knowledge.borrow_mut().wait_until(Instant::now() + patience);
-    gateway.sharing.set_reader(Reader::Other(String::new()));
+    gateway.sharing.set_reader(Reader::Other { name: String::new(), is_deputy: false });
     let listing = list::keep(&gateway, &*directory, &own, &order);
     let following = follow(&gateway, &*directory, &own, &order);
     monoio::join!(listing, following);
@@ -64,7 +64,9 @@
             ListState::Unknown | ListState::Heard => Some(Instant::now() + SEED_TIME),
         };
         let patience = STALE_TIME * (1 << stale.min(MAX_DOUBLINGS));
-        let subscription = Subscription { gateway, directory, reader: &reader, until, patience };
+        let is_deputy = order.borrow().is_deputy(&reader, Instant::now());
+        let subscription =
+            Subscription { gateway, directory, reader: &reader, is_deputy, until, patience };
         match subscription.follow().await {
             Ended::Due => stale = 0,
             Ended::Differs => {
--- a/src/process/gateway/sharing/subscription.rs
+++ b/src/process/gateway/sharing/subscription.rs
@@ -4,7 +4,7 @@
 use monoio::net::TcpStream;
 
 use super::update::{Update, FORMAT};
-use super::{Reader, STALE_AGE};
+use super::{Reader, TURN_AGE};
 use crate::edge::directory::{Directory, Listing};
 use crate::prelude::*;
 use crate::process::gateway::Gateway;
@@ -15,6 +15,8 @@
 const SILENCE: Duration = Duration::from_millis(2500);
 /// Time for which the same reading may lead to different targets before all is compared again.
 const DIFFERENCE_TIME: Duration = Duration::from_secs(1);
+/// Reason for which a reader is given up whose news have grown old.
+const LATE: &str = "late";
 /// Reason for which a reader is given up that knows too little.
 pub const STALE: &str = "stale";
 
@@ -36,6 +38,8 @@
     pub gateway: &'a Rc<Gateway>,
     pub directory: &'a dyn Directory,
     pub reader: &'a Listing,
+    /// Whether others turn to this entry when the reader fails.
+    pub is_deputy: bool,
     /// When an entry that comes before the reader may be tried again.
     pub until: Option<Instant>,
     /// Time for which the reader may know too little while this entry cannot read either.
@@ -48,7 +52,8 @@
         let mut has_told = false;
         match self.connect().await {
             Some(mut stream) => {
-                self.gateway.sharing.set_reader(Reader::Other(self.reader.name.clone()));
+                let (name, is_deputy) = (self.reader.name.clone(), self.is_deputy);
+                self.gateway.sharing.set_reader(Reader::Other { name, is_deputy });
                 let ended = self.hear(&mut stream, &mut has_told).await;
                 ended.unwrap_or_else(|reason| Ended::Failed { reason, has_told })
             }
@@ -76,11 +81,12 @@
         let mut good = Instant::now();
         let mut differing: Option<Instant> = None;
         loop {
-            let read = monoio::time::timeout(SILENCE, Update::read(stream)).await;
-            let update = read.map_err(|_| "silent")?.map_err(|_| "connection lost")?;
+            let (limit, reason) = self.silence(*has_told);
+            let read = monoio::time::timeout(limit, Update::read(stream)).await;
+            let update = read.map_err(|_| reason)?.map_err(|_| "connection lost")?;
             self.gateway.hear(self.directory, &update);
             let now = Instant::now();
-            if update.age.is_some_and(|age| age <= STALE_AGE) {
+            if update.age.is_some_and(|age| age <= TURN_AGE) {
                 good = now;
                 *has_told = true;
             } else if self.is_stale(&update, good.elapsed()) {
@@ -97,14 +103,26 @@
         }
     }
 
+    /// How long the reader may tell nothing, and what it is then.
+    ///
+    /// One that has told fresh news is left when they grow old, as a deputy may know more. If the
+    /// news of the next one are old as well, its silence counts alone.
+    fn silence(&self, has_told: bool) -> (Duration, &'static str) {
+        let rest = self.gateway.sharing.knowledge.borrow().rest(TURN_AGE, Instant::now());
+        match has_told {
+            true => (rest, LATE),
+            false => (SILENCE, "silent"),
+        }
+    }
+
     /// Whether to pass over a reader that has told nothing fresh for some time.
     ///
-    /// One that the directory refuses tells that it knows less and less. If this entry reads well,
+    /// One that the directory refuses tells that it knows less and less. If this entry knows better,
     /// it needs no proof; otherwise the directory may be away for all. A reader that knows nothing
     /// has perhaps just started.
     fn is_stale(&self, update: &Update, span: Duration) -> bool {
         let is_telling = update.age.is_some() || span > SILENCE;
-        let reads_better = self.gateway.reads_better(update.age);
-        is_telling && (reads_better || (self.gateway.is_failing() && span >= self.patience))
+        let knows_better = self.gateway.knows_better(update.age);
+        is_telling && (knows_better || (self.gateway.is_failing() && span >= self.patience))
     }
 }
--- a/src/process/observe.rs
+++ b/src/process/observe.rs
@@ -132,6 +132,14 @@
         });
     }
 
+    /// Adds to the reads of a feed of the directory by outcome, a closed set of words.
+    pub fn directory_read(&self, feed: &'static str, outcome: &'static str) {
+        let labels = [("feed", feed), ("outcome", outcome)];
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_directory_reads_total", &labels).increment(1);
+        });
+    }
+
     /// Records an append to the stream `claims`.
     pub fn append(&self, confirmed: bool, whole: Duration) {
         let confirmed = if confirmed { "true" } else { "false" };
