Ask an absent store one question at a time, and a seed for the list at the first start

Now a read is repeated only while the store answers, the routes wait for the targets' return, and at the first start only the seeds read the list and tell it to the others, who read it themselves if they hear nothing. A deputy whose reader's news are old leaves it although its own reads are fresh, and starts to read at once: before, the next deputy had to read beside it.

--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -20,10 +20,12 @@
 const TARGETS_PAUSE: Duration = Duration::from_millis(400);
 /// Wait of a read of the routes after one that failed, so that a lost one is noticed soon.
 const PROOF_WAIT: Duration = Duration::from_millis(100);
-/// Factor on the pause of the routes' feed while the targets' feed fails, whose return ends it.
-const ROUTES_FACTOR: u32 = 2;
-/// Time between two looks whether the news that another entry tells are still fresh.
+/// Pause of the routes' feed while the targets' feed fails as well, whose return ends it.
+const ROUTES_PAUSE: Duration = Duration::from_secs(3);
+/// Shortest and longest time between two looks whether the news that another entry tells are still
+/// fresh, and whether it is still the one that reads.
 const REST_LOOK: Duration = Duration::from_millis(25);
+const REST_LONG: Duration = Duration::from_millis(200);
 
 /// Follows both feeds until the task is dropped.
 pub async fn follow(gateway: Rc<Gateway>, directory: Rc<dyn Directory>) {
@@ -42,6 +44,10 @@
         let next = gateway.next_targets.get();
         let wait = pace.wait(gateway.read.get().map(|read| read.elapsed()));
         let result = match next {
+            // In an outage, second reads would only be lost as well.
+            Some(next) if back_off.is_failing() => {
+                directory.changes(Feed::Targets, next, wait).await
+            }
             Some(next) => overdue::read(directory, Feed::Targets, next, wait, pace.slack()).await,
             None => directory.snapshot(Feed::Targets).await.map(Read::Batch),
         };
@@ -120,7 +126,7 @@
                 let pause = pause(gateway, &mut back_off);
                 match gateway.is_failing() {
                     true => monoio::select! {
-                        () = monoio::time::sleep(pause * ROUTES_FACTOR) => {},
+                        () = monoio::time::sleep(gateway.spread(ROUTES_PAUSE)) => {},
                         () = changes_of(regained) => {},
                     },
                     false => monoio::time::sleep(pause).await,
@@ -154,9 +160,9 @@
         if rest.is_zero() {
             return;
         }
-        // The reader may change meanwhile, which is seen soon only while nothing is known.
-        let is_ready = gateway.is_ready();
-        monoio::time::sleep(if is_ready { rest.max(REST_LOOK) } else { REST_LOOK }).await;
+        // While nothing is known, each moment counts.
+        let longest = if gateway.is_ready() { REST_LONG } else { REST_LOOK };
+        monoio::time::sleep(rest.clamp(REST_LOOK, longest)).await;
     }
 }
 
--- a/src/process/gateway/sharing/list.rs
+++ b/src/process/gateway/sharing/list.rs
@@ -3,13 +3,19 @@
 use rand::Rng;
 
 use super::order::Order;
-use super::ListState;
+use super::{entry_list, ListState};
 use crate::edge::directory::{Directory, Listing};
 use crate::prelude::*;
 use crate::process::gateway::Gateway;
 
 /// Time after which entries that started together have all been listed.
-pub const JOIN_PAUSE: Duration = Duration::from_millis(600);
+const JOIN_PAUSE: Duration = Duration::from_millis(600);
+/// Further time after which a seed reads the list, so that it holds those that started last.
+const SEED_PAUSE: Duration = Duration::from_millis(300);
+/// Longest wait for a seed's list.
+const SEED_TIME: Duration = Duration::from_millis(900);
+/// Time in which entries that start together come to know each other.
+pub const JOIN_TIME: Duration = Duration::from_millis(2100);
 /// Time between two further looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause after the list could not be read.
@@ -29,9 +35,13 @@
         is_new = true;
         gateway.sharing.list.set(ListState::Heard);
         monoio::time::sleep(JOIN_PAUSE).await;
+        if let Some(listings) = from_seed(gateway, own).await {
+            take(gateway, own, order, listings);
+            pause(gateway, LIST_INTERVAL).await;
+        }
     }
     loop {
-        let pause = match directory.listings().await {
+        let span = match directory.listings().await {
             Ok(listings) => {
                 gateway.sharing.hear_list();
                 let is_listed = listings.contains(own);
@@ -43,10 +53,8 @@
                     // Entries that start together do not see each other yet.
                     JOIN_PAUSE
                 } else {
-                    let others = listings.iter().filter(|listing| listing.name != own.name);
-                    gateway.sharing.entries.set(Some(1 + others.count()));
-                    order.borrow_mut().set(own, listings);
-                    gateway.sharing.list.set(ListState::Listed);
+                    gateway.sharing.listings.replace(Some(listings.clone()));
+                    take(gateway, own, order, listings);
                     LIST_INTERVAL
                 }
             }
@@ -55,7 +63,32 @@
                 LIST_PAUSE
             }
         };
-        let spread = gateway.rng.borrow_mut().random_range(1.0..1.2);
-        monoio::time::sleep(pause.mul_f64(spread)).await;
+        pause(gateway, span).await;
     }
 }
+
+/// The list as a seed has read it, so that not all entries read it at their common start.
+async fn from_seed(gateway: &Gateway, own: &Listing) -> Option<Vec<Listing>> {
+    let seeds = gateway.settings.borrow().seeds.clone();
+    if seeds.contains(&own.address) {
+        monoio::time::sleep(SEED_PAUSE).await;
+        return None;
+    }
+    let seed = *seeds.get(gateway.rng.borrow_mut().random_range(0..seeds.len().max(1)))?;
+    let listings = entry_list::ask(seed, SEED_TIME).await?;
+    log::info!(seed:% = seed, entries = listings.len(); "list of entries heard");
+    listings.contains(own).then_some(listings)
+}
+
+/// Takes over a list.
+fn take(gateway: &Gateway, own: &Listing, order: &RefCell<Order>, listings: Vec<Listing>) {
+    let others = listings.iter().filter(|listing| listing.name != own.name);
+    gateway.sharing.entries.set(Some(1 + others.count()));
+    order.borrow_mut().set(own, listings);
+    gateway.sharing.list.set(ListState::Listed);
+}
+
+async fn pause(gateway: &Gateway, span: Duration) {
+    let spread = gateway.rng.borrow_mut().random_range(1.0..1.2);
+    monoio::time::sleep(span.mul_f64(spread)).await;
+}
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -11,6 +11,7 @@
 //! Different views of the order therefore cost further reads, never correctness.
 
 pub mod buckets;
+pub mod entry_list;
 pub mod frame;
 pub mod greeting;
 pub mod knowledge;
@@ -23,6 +24,7 @@
 
 use self::knowledge::Knowledge;
 use self::publish::Subscribers;
+use crate::edge::directory::Listing;
 use crate::prelude::*;
 
 /// Age of a deputy's knowledge from which on it reads the directory itself.
@@ -66,6 +68,8 @@
     pub stands_in: Cell<bool>,
     /// Number of listed entries of all domains, if the list was read.
     pub entries: Cell<Option<usize>>,
+    /// The list of entries as this entry has read it, for others that start together with it.
+    pub listings: RefCell<Option<Vec<Listing>>>,
     /// How much of the list of entries is known.
     pub list: Cell<ListState>,
 }
--- a/src/process/gateway/sharing/publish.rs
+++ b/src/process/gateway/sharing/publish.rs
@@ -4,6 +4,7 @@
 use monoio::io::{AsyncReadRent, AsyncWriteRentExt};
 use monoio::net::{TcpListener, TcpStream};
 
+use super::entry_list;
 use super::greeting::Greeting;
 use super::update::{Update, FORMAT};
 use crate::connection::tasks::Tasks;
@@ -14,6 +15,8 @@
 const PEER_TIME: Duration = Duration::from_secs(2);
 /// Updates that wait for a subscriber before it is given up.
 const MAX_WAITING: usize = 64;
+/// Time between two looks whether the list of entries is known.
+const LIST_LOOK: Duration = Duration::from_millis(20);
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -91,6 +94,9 @@
     let _ = stream.set_nodelay(true);
     let greeting = monoio::time::timeout(PEER_TIME, stream.read(vec![0; 1])).await;
     let Ok((Ok(1), byte)) = greeting else { return };
+    if byte == [entry_list::QUESTION] {
+        return hand_out(&gateway, stream).await;
+    }
     if byte != [FORMAT] {
         log::warn!(format = byte[0]; "subscriber refused");
         return;
@@ -109,6 +115,20 @@
     }
 }
 
+/// Answers with the list of entries once it is known.
+async fn hand_out(gateway: &Gateway, mut stream: TcpStream) {
+    let end = Instant::now() + PEER_TIME;
+    let message = loop {
+        let known = gateway.sharing.listings.borrow().as_deref().map(entry_list::encode);
+        match known {
+            Some(message) => break message,
+            None if Instant::now() >= end => return,
+            None => monoio::time::sleep(LIST_LOOK).await,
+        }
+    };
+    let _ = monoio::time::timeout(PEER_TIME, stream.write_all(message)).await;
+}
+
 /// What a new subscriber lacks, and how old the entry's knowledge is.
 fn first(gateway: &Gateway, greeting: &Greeting) -> Vec<Bytes> {
     let lack = match greeting.routes {
--- a/src/process/gateway/sharing/subscribe.rs
+++ b/src/process/gateway/sharing/subscribe.rs
@@ -46,7 +46,7 @@
 ) {
     reach(gateway, ListState::Heard, FIRST_LOOK).await;
     if gateway.sharing.list.get() >= ListState::Heard {
-        reach(gateway, ListState::Listed, list::JOIN_PAUSE * 2).await;
+        reach(gateway, ListState::Listed, list::JOIN_TIME).await;
     }
     // Readers in a row that knew too little.
     let mut stale = 0;
--- a/src/process/gateway/sharing/subscription.rs
+++ b/src/process/gateway/sharing/subscription.rs
@@ -15,7 +15,8 @@
 const SILENCE: Duration = Duration::from_millis(2500);
 /// Time for which the same reading may lead to different targets before all is compared again.
 const DIFFERENCE_TIME: Duration = Duration::from_secs(1);
-/// Reason for which a reader is given up whose news have grown old.
+/// Reason for which a reader is given up whose news have grown old. The next one may know more; if
+/// that has nothing fresh to tell either, only its silence counts.
 const LATE: &str = "late";
 /// Reason for which a reader is given up that knows too little.
 pub const STALE: &str = "stale";
@@ -80,14 +81,20 @@
     ) -> std::result::Result<Ended, &'static str> {
         let mut good = Instant::now();
         let mut differing: Option<Instant> = None;
+        // The moment whose state the reader has told; none until it tells fresh news.
+        let mut told: Option<Instant> = None;
         loop {
-            let (limit, reason) = self.silence(*has_told);
+            let (limit, reason) = match told {
+                Some(told) => (TURN_AGE.saturating_sub(told.elapsed()), LATE),
+                None => (SILENCE, "silent"),
+            };
             let read = monoio::time::timeout(limit, Update::read(stream)).await;
             let update = read.map_err(|_| reason)?.map_err(|_| "connection lost")?;
             self.gateway.hear(self.directory, &update);
             let now = Instant::now();
-            if update.age.is_some_and(|age| age <= TURN_AGE) {
+            if let Some(age) = update.age.filter(|age| *age <= TURN_AGE) {
                 good = now;
+                told = now.checked_sub(age);
                 *has_told = true;
             } else if self.is_stale(&update, good.elapsed()) {
                 return Err(STALE);
@@ -103,18 +110,6 @@
         }
     }
 
-    /// How long the reader may tell nothing, and what it is then.
-    ///
-    /// One that has told fresh news is left when they grow old, as a deputy may know more. If the
-    /// news of the next one are old as well, its silence counts alone.
-    fn silence(&self, has_told: bool) -> (Duration, &'static str) {
-        let rest = self.gateway.sharing.knowledge.borrow().rest(TURN_AGE, Instant::now());
-        match has_told {
-            true => (rest, LATE),
-            false => (SILENCE, "silent"),
-        }
-    }
-
     /// Whether to pass over a reader that has told nothing fresh for some time.
     ///
     /// One that the directory refuses tells that it knows less and less. If this entry knows better,
--- a/tests/overdue.rs
+++ b/tests/overdue.rs
@@ -1,12 +1,15 @@
 //! Reads of the directory whose answers are lost.
 
+mod fixture;
+
 use std::collections::VecDeque;
 
-use cornellink::edge::directory::{Batch, Change, Directory, Feed, Listing, News, Read};
+use cornellink::edge::directory::{Feed, Read};
 use cornellink::edge::{Pending, Result};
 use cornellink::prelude::*;
 use cornellink::process::gateway::overdue;
 use cornellink::process::runtime::block_on;
+use fixture::only_changes::{nothing_new, Changes, OnlyChanges};
 
 const WAIT: Duration = Duration::from_millis(60);
 const SLACK: Duration = Duration::from_millis(20);
@@ -27,20 +30,25 @@
     waits: RefCell<Vec<Duration>>,
 }
 
-impl Fates {
-    fn new(fates: &[Fate]) -> Self {
-        Self { fates: RefCell::new(fates.iter().copied().collect()), waits: RefCell::default() }
-    }
+/// Reads from a directory with these fates.
+async fn read(fates: &[Fate]) -> Ended {
+    let fates =
+        Fates { fates: RefCell::new(fates.iter().copied().collect()), waits: RefCell::default() };
+    let directory = OnlyChanges(fates);
+    let start = Instant::now();
+    let read = overdue::read(&directory, Feed::Targets, 7, WAIT, SLACK);
+    let result = monoio::time::timeout(WAIT * 20, read).await.expect("the read ends");
+    Ended { result, time: start.elapsed(), waits: directory.0.waits.take() }
+}
 
-    async fn read(&self) -> (Result<Read>, Duration) {
-        let start = Instant::now();
-        let read = overdue::read(self, Feed::Targets, 7, WAIT, SLACK);
-        let result = monoio::time::timeout(WAIT * 20, read).await.expect("the read ends");
-        (result, start.elapsed())
-    }
+/// How a read ended, and the waits of all that were sent.
+struct Ended {
+    result: Result<Read>,
+    time: Duration,
+    waits: Vec<Duration>,
 }
 
-impl Directory for Fates {
+impl Changes for Fates {
     fn changes(&self, _: Feed, from: u64, wait: Duration) -> Pending<'_, Read> {
         self.waits.borrow_mut().push(wait);
         let fate = self.fates.borrow_mut().pop_front().expect("no further read");
@@ -48,7 +56,7 @@
             match fate {
                 Fate::Answered(time) => {
                     monoio::time::sleep(time).await;
-                    Ok(Read::Batch(Batch { changes: Vec::new(), next: from }))
+                    Ok(nothing_new(from))
                 }
                 Fate::Failed(time) => {
                     monoio::time::sleep(time).await;
@@ -58,66 +66,40 @@
             }
         })
     }
-
-    fn snapshot(&self, _: Feed) -> Pending<'_, Batch> {
-        unimplemented!("the tests read changes only")
-    }
-
-    fn decode(&self, _: Feed, _: &Change) -> Option<News> {
-        None
-    }
-
-    fn list<'a>(&'a self, _: &Listing) -> Pending<'a, ()> {
-        unimplemented!("the tests read changes only")
-    }
-
-    fn listings(&self) -> Pending<'_, Vec<Listing>> {
-        unimplemented!("the tests read changes only")
-    }
 }
 
 /// Guards against a lost read that is noticed only when it is given up, by when all subscribers have
 /// read for themselves.
 #[test]
 fn lost_read_is_repeated_soon() {
-    block_on(async {
-        let fates = Fates::new(&[Fate::Lost, Fate::Answered(Duration::ZERO)]);
-
-        let (result, time) = fates.read().await;
+    let ended = block_on(read(&[Fate::Lost, Fate::Answered(Duration::ZERO)])).unwrap();
 
-        assert!(result.is_ok());
-        assert!(time >= WAIT + SLACK && time < WAIT * 10, "{time:?}");
-        assert_eq!(*fates.waits.borrow(), [WAIT, Duration::ZERO]);
-    })
-    .unwrap();
+    assert!(ended.result.is_ok());
+    assert!(ended.time >= WAIT + SLACK && ended.time < WAIT * 10, "{:?}", ended.time);
+    assert_eq!(ended.waits, [WAIT, Duration::ZERO]);
 }
 
 /// Guards against second reads where nothing is wrong, as each read has its price.
 #[test]
 fn answer_in_time_is_not_repeated() {
-    block_on(async {
-        let fates = Fates::new(&[Fate::Answered(WAIT)]);
+    let ended = block_on(read(&[Fate::Answered(WAIT)])).unwrap();
 
-        let (result, _) = fates.read().await;
-
-        assert!(result.is_ok());
-        assert_eq!(fates.waits.borrow().len(), 1);
-    })
-    .unwrap();
+    assert!(ended.result.is_ok());
+    assert_eq!(ended.waits, [WAIT]);
 }
 
 /// Guards against a directory that counts as lost while one of both reads is answered.
 #[test]
 fn either_answer_counts() {
-    block_on(async {
-        let late = WAIT + SLACK * 3;
-        let refused = Fates::new(&[Fate::Answered(late), Fate::Failed(Duration::ZERO)]);
-        let closed = Fates::new(&[Fate::Failed(late), Fate::Answered(SLACK * 4)]);
-        let away = Fates::new(&[Fate::Failed(late), Fate::Failed(SLACK)]);
-
-        let ends = [refused.read().await.0, closed.read().await.0, away.read().await.0];
-
-        assert_eq!(ends.map(|end| end.is_ok()), [true, true, false]);
-    })
-    .unwrap();
+    let late = WAIT + SLACK * 3;
+    let cases = [
+        ([Fate::Answered(late), Fate::Failed(Duration::ZERO)], true),
+        ([Fate::Failed(late), Fate::Answered(SLACK * 4)], true),
+        ([Fate::Failed(late), Fate::Failed(SLACK)], false),
+    ];
+    for (fates, expected) in cases {
+        let ended = block_on(read(&fates)).unwrap();
+
+        assert_eq!(ended.result.is_ok(), expected);
+    }
 }
--- a/tests/regained.rs
+++ b/tests/regained.rs
@@ -5,13 +5,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use cornellink::edge::directory::{Batch, Change, Directory, Feed, Listing, News, Read};
-use cornellink::edge::{Pending, Result};
+use cornellink::edge::directory::{Feed, Read};
+use cornellink::edge::Pending;
 use cornellink::error::Error;
 use cornellink::prelude::*;
 use cornellink::process::gateway::{follower, Gateway};
 use cornellink::process::runtime::block_on;
 use fixture::gateway::{settings, NAMING};
+use fixture::only_changes::{nothing_new, Changes, OnlyChanges};
 
 /// Time from one return of the directory to the next.
 const PERIOD: Duration = Duration::from_millis(900);
@@ -34,11 +35,7 @@
     }
 }
 
-impl Directory for Meeting {
-    fn snapshot(&self, _: Feed) -> Pending<'_, Batch> {
-        Box::pin(async { Ok(Batch::default()) })
-    }
-
+impl Changes for Meeting {
     fn changes(&self, feed: Feed, from: u64, _: Duration) -> Pending<'_, Read> {
         Box::pin(async move {
             if feed == Feed::Targets && self.fails.replace(!self.fails.get()) {
@@ -48,21 +45,9 @@
             if feed == Feed::Routes {
                 self.met.set(self.met.get() + 1);
             }
-            Ok(Read::Batch(Batch { changes: Vec::new(), next: from }))
+            Ok(nothing_new(from))
         })
     }
-
-    fn decode(&self, _: Feed, _: &Change) -> Option<News> {
-        None
-    }
-
-    fn list<'a>(&'a self, _: &Listing) -> Pending<'a, ()> {
-        Box::pin(async { Ok(()) })
-    }
-
-    fn listings(&self) -> Pending<'_, Vec<Listing>> {
-        Box::pin(async { Result::Ok(Vec::new()) })
-    }
 }
 
 /// Guards against a process that ends when the directory's return, seen by one feed, meets the
@@ -72,14 +57,15 @@
 fn feeds_survive_a_return_that_meets_an_answer() {
     block_on(async {
         let gateway = Rc::new(Gateway::new(settings("entry-1", None), NAMING));
-        let directory =
-            Rc::new(Meeting { start: Instant::now(), fails: Cell::new(true), met: Cell::new(0) });
+        let meeting = Meeting { start: Instant::now(), fails: Cell::new(true), met: Cell::new(0) };
+        let directory = Rc::new(OnlyChanges(meeting));
 
         let follow = follower::follow(gateway.clone(), directory.clone());
         let ended = monoio::time::timeout(PERIOD * (RETURNS + 1), follow).await;
 
         assert!(ended.is_err(), "the feeds are followed until the end");
-        assert!(directory.met.get() >= RETURNS / 2, "{}", directory.met.get());
+        let met = directory.0.met.get();
+        assert!(met >= RETURNS / 2, "{met}");
     })
     .unwrap();
 }
