--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -40,6 +40,7 @@
     /// The entry itself.
     #[default]
     Own,
+    /// The entry of that name.
     Other {
         name: String,
         /// Whether others turn to this entry when that one fails.
