Share the connection between entries, the read of a feed and the head of a message

The connection to another entry stood in subscription.rs and entry_list.rs, now frame::connect. The targets' and the routes' feeds read by the same function again, with the second read of an overdue answer as the only difference. A subscription derives whether the reader has told fresh news from the moment that it told. The list of entries is encoded once when it is read, not for each entry that asks, and is not copied. JOIN_TIME follows from the times of which it is made.

--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -45,11 +45,10 @@
         let wait = pace.wait(gateway.read.get().map(|read| read.elapsed()));
         let result = match next {
             // In an outage, second reads would only be lost as well.
-            Some(next) if back_off.is_failing() => {
-                directory.changes(Feed::Targets, next, wait).await
+            Some(next) if !back_off.is_failing() => {
+                overdue::read(directory, Feed::Targets, next, wait, pace.slack()).await
             }
-            Some(next) => overdue::read(directory, Feed::Targets, next, wait, pace.slack()).await,
-            None => directory.snapshot(Feed::Targets).await.map(Read::Batch),
+            Some(_) | None => read(directory, Feed::Targets, next, wait).await,
         };
         count(gateway, Feed::Targets, &result);
         match result {
@@ -100,7 +99,7 @@
         let next = gateway.next_routes.get();
         let wait = if back_off.is_failing() { PROOF_WAIT } else { Feed::Routes.longest_wait() };
         let result = monoio::select! {
-            result = read_routes(directory, next, wait) => result,
+            result = read(directory, Feed::Routes, next, wait) => result,
             // The read may be one that the directory lost in its outage.
             () = changes_of(regained) => continue,
         };
@@ -166,15 +165,16 @@
     }
 }
 
-/// Reads the routes that follow `next` within `wait`, or a snapshot.
-async fn read_routes(
+/// Reads what follows `next` within `wait`, or a snapshot.
+async fn read(
     directory: &dyn Directory,
+    feed: Feed,
     next: Option<u64>,
     wait: Duration,
 ) -> edge::Result<Read> {
     match next {
-        Some(next) => directory.changes(Feed::Routes, next, wait).await,
-        None => directory.snapshot(Feed::Routes).await.map(Read::Batch),
+        Some(next) => directory.changes(feed, next, wait).await,
+        None => directory.snapshot(feed).await.map(Read::Batch),
     }
 }
 
--- a/src/process/gateway/sharing/entry_list.rs
+++ b/src/process/gateway/sharing/entry_list.rs
@@ -1,7 +1,6 @@
 //! The list of entries, as one entry tells it to others that start together with it.
 
 use monoio::io::AsyncWriteRentExt;
-use monoio::net::TcpStream;
 use serde::{Deserialize, Serialize};
 
 use super::frame;
@@ -12,8 +11,6 @@
 pub const QUESTION: u8 = 0x4c;
 /// Largest list.
 const MAX_BYTES: usize = 8 * 1024 * 1024;
-/// Longest wait for a connection to a seed.
-const CONNECT_TIME: Duration = Duration::from_millis(150);
 
 #[derive(Serialize, Deserialize)]
 struct ListingWire {
@@ -53,8 +50,7 @@
 }
 
 async fn exchange(seed: SocketAddr) -> Option<Vec<Listing>> {
-    let connect = TcpStream::connect_addr(seed);
-    let mut stream = monoio::time::timeout(CONNECT_TIME, connect).await.ok()?.ok()?;
+    let mut stream = frame::connect(seed).await?;
     stream.write_all(vec![QUESTION]).await.0.ok()?;
     let wire: Vec<ListingWire> = frame::read(&mut stream, MAX_BYTES).await.ok()?;
     Some(wire.into_iter().map(Into::into).collect())
--- a/src/process/gateway/sharing/frame.rs
+++ b/src/process/gateway/sharing/frame.rs
@@ -1,7 +1,8 @@
-//! Messages between entries on a connection: a length in four bytes, big-endian, and a postcard
-//! value.
+//! Connections between entries, and the messages on them: a length in four bytes, big-endian, and a
+//! postcard value.
 
 use monoio::io::{AsyncReadRent, AsyncReadRentExt};
+use monoio::net::TcpStream;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -11,6 +12,16 @@
 
 /// Bytes of a message's length.
 const LENGTH_BYTES: usize = 4;
+/// Longest wait for a connection to another entry.
+const CONNECT_TIME: Duration = Duration::from_millis(150);
+
+/// Connects to another entry.
+pub async fn connect(address: SocketAddr) -> Option<TcpStream> {
+    let connect = TcpStream::connect_addr(address);
+    let stream = monoio::time::timeout(CONNECT_TIME, connect).await.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    Some(stream)
+}
 
 /// Writes a message.
 pub fn encode(message: &impl Serialize) -> Bytes {
--- a/src/process/gateway/sharing/list.rs
+++ b/src/process/gateway/sharing/list.rs
@@ -15,7 +15,7 @@
 /// Longest wait for a seed's list.
 const SEED_TIME: Duration = Duration::from_millis(900);
 /// Time in which entries that start together come to know each other.
-pub const JOIN_TIME: Duration = Duration::from_millis(2100);
+pub const JOIN_TIME: Duration = JOIN_PAUSE.saturating_mul(2).saturating_add(SEED_TIME);
 /// Time between two further looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause after the list could not be read.
@@ -53,7 +53,7 @@
                     // Entries that start together do not see each other yet.
                     JOIN_PAUSE
                 } else {
-                    gateway.sharing.listings.replace(Some(listings.clone()));
+                    gateway.sharing.list_message.replace(Some(entry_list::encode(&listings)));
                     take(gateway, own, order, listings);
                     LIST_INTERVAL
                 }
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -24,7 +24,6 @@
 
 use self::knowledge::Knowledge;
 use self::publish::Subscribers;
-use crate::edge::directory::Listing;
 use crate::prelude::*;
 
 /// Age of a deputy's knowledge from which on it reads the directory itself.
@@ -69,8 +68,9 @@
     pub stands_in: Cell<bool>,
     /// Number of listed entries of all domains, if the list was read.
     pub entries: Cell<Option<usize>>,
-    /// The list of entries as this entry has read it, for others that start together with it.
-    pub listings: RefCell<Option<Vec<Listing>>>,
+    /// The list of entries as this entry has read it, as a message for others that start together
+    /// with it.
+    pub list_message: RefCell<Option<Bytes>>,
     /// How much of the list of entries is known.
     pub list: Cell<ListState>,
 }
--- a/src/process/gateway/sharing/publish.rs
+++ b/src/process/gateway/sharing/publish.rs
@@ -119,7 +119,7 @@
 async fn hand_out(gateway: &Gateway, mut stream: TcpStream) {
     let end = Instant::now() + PEER_TIME;
     let message = loop {
-        let known = gateway.sharing.listings.borrow().as_deref().map(entry_list::encode);
+        let known = gateway.sharing.list_message.borrow().clone();
         match known {
             Some(message) => break message,
             None if Instant::now() >= end => return,
--- a/src/process/gateway/sharing/subscription.rs
+++ b/src/process/gateway/sharing/subscription.rs
@@ -4,13 +4,11 @@
 use monoio::net::TcpStream;
 
 use super::update::{Update, FORMAT};
-use super::{Reader, TURN_AGE};
+use super::{frame, Reader, TURN_AGE};
 use crate::edge::directory::{Directory, Listing};
 use crate::prelude::*;
 use crate::process::gateway::Gateway;
 
-/// Longest wait for a connection to another entry.
-const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Silence after which a reader is given up.
 const SILENCE: Duration = Duration::from_millis(2500);
 /// Time for which the same reading may lead to different targets before all is compared again.
@@ -50,23 +48,22 @@
 impl Subscription<'_> {
     /// Follows the reader until it fails or another one should be tried.
     pub async fn follow(&self) -> Ended {
-        let mut has_told = false;
+        let mut told = None;
         match self.connect().await {
             Some(mut stream) => {
                 let (name, is_deputy) = (self.reader.name.clone(), self.is_deputy);
                 self.gateway.sharing.set_reader(Reader::Other { name, is_deputy });
-                let ended = self.hear(&mut stream, &mut has_told).await;
+                let ended = self.hear(&mut stream, &mut told).await;
+                let has_told = told.is_some();
                 ended.unwrap_or_else(|reason| Ended::Failed { reason, has_told })
             }
-            None => Ended::Failed { reason: "no connection", has_told },
+            None => Ended::Failed { reason: "no connection", has_told: false },
         }
     }
 
     /// Connects and says what this entry knows.
     async fn connect(&self) -> Option<TcpStream> {
-        let connect = TcpStream::connect_addr(self.reader.address);
-        let mut stream = monoio::time::timeout(CONNECT_TIME, connect).await.ok()?.ok()?;
-        let _ = stream.set_nodelay(true);
+        let mut stream = frame::connect(self.reader.address).await?;
         let mut message = vec![FORMAT];
         message.extend_from_slice(&self.gateway.greeting().encode());
         stream.write_all(message).await.0.ok()?;
@@ -74,17 +71,17 @@
     }
 
     /// Takes over updates until the reader is no longer the one to follow.
+    ///
+    /// `told` is the moment whose state the reader has told; none until it tells fresh news.
     async fn hear(
         &self,
         stream: &mut TcpStream,
-        has_told: &mut bool,
+        told: &mut Option<Instant>,
     ) -> std::result::Result<Ended, &'static str> {
         let mut good = Instant::now();
         let mut differing: Option<Instant> = None;
-        // The moment whose state the reader has told; none until it tells fresh news.
-        let mut told: Option<Instant> = None;
         loop {
-            let (limit, reason) = match told {
+            let (limit, reason) = match *told {
                 Some(told) => (TURN_AGE.saturating_sub(told.elapsed()), LATE),
                 None => (SILENCE, "silent"),
             };
@@ -94,8 +91,7 @@
             let now = Instant::now();
             if let Some(age) = update.age.filter(|age| *age <= TURN_AGE) {
                 good = now;
-                told = now.checked_sub(age);
-                *has_told = true;
+                *told = now.checked_sub(age).or(Some(now));
             } else if self.is_stale(&update, good.elapsed()) {
                 return Err(STALE);
             }
