--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -73,7 +73,7 @@
                 probes_per_s: 42,
                 retry_slack: 222,
             };
-            Gateway::start(&machine, &store, &[], &folder.0)
+            Gateway::start(&machine, store.address, &[], &folder.0)
         })
         .collect();
     if !lib::wait_ready(&gateways, 20_000 * MS) {
--- a/review/stand_ins/lib.rs
+++ b/review/stand_ins/lib.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -267,18 +267,19 @@
     pub id: String,
     pub address: SocketAddr,
     service: String,
-    zone: String,
+    pub zone: String,
     slots: usize,
     running: Arc<AtomicUsize>,
-    sequence: Arc<AtomicU64>,
+    born: u128,
     work: Work,
     record: Record,
-    is_silent: Arc<AtomicBool>,
+    arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
 }
 
 impl Instance {
     pub fn start(id: &str, service: &str, zone: &str, slots: usize, ip: Ipv4Addr, work: Work, record: &Record) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("an instance has a free port");
+        let born = std::time::SystemTime::UNIX_EPOCH.elapsed().unwrap_or_default().as_millis();
         let instance = Self {
             id: id.into(),
             address: listener.local_addr().unwrap(),
@@ -286,10 +287,10 @@
             zone: zone.into(),
             slots,
             running: Arc::default(),
-            sequence: Arc::default(),
+            born,
             work,
             record: record.clone(),
-            is_silent: Arc::default(),
+            arrivals: Arc::default(),
         };
         let shared = instance.clone();
         thread::spawn(move || {
@@ -301,28 +302,27 @@
         instance
     }
 
-    /// Registers in the store and renews the entry every 1.5 s.
+    /// Registers in the store. The beats that follow change no more than `sequence`, so the entry
+    /// does not change.
     pub fn register(&self, store: &Store) {
-        let (instance, store) = (self.clone(), store.clone());
-        instance.beat(&store);
-        thread::spawn(move || loop {
-            thread::sleep(1500 * MS);
-            if instance.is_silent.load(Ordering::Relaxed) {
-                return;
-            }
-            instance.beat(&store);
-        });
-    }
-
-    fn beat(&self, store: &Store) {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","max_concurrency":{},"state":"ready","warmup_remaining_ms":0,"sequence":{sequence},"born":1790000000000}}"#,
-            self.service, self.address, self.zone, self.slots
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","max_concurrency":{},"state":"ready","warmup_remaining_ms":0,"sequence":1,"born":{}}}"#,
+            self.service, self.address, self.zone, self.slots, self.born
         );
         store.put("keyed.servers", &self.id, &entry);
     }
 
+    /// The ids of the requests that it ran, and when they reached it.
+    pub fn arrivals(&self) -> Vec<(String, Instant)> {
+        self.arrivals.lock().unwrap().clone()
+    }
+
+    /// Leaves without reporting it: the entry is removed, and the instance goes on serving. Returns
+    /// the time of the store's acknowledgement.
+    pub fn leave(&self, store: &Store) -> Instant {
+        store.put("keyed.servers", &self.id, "")
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Some(request) = Message::read(&mut stream) {
@@ -338,6 +338,7 @@
                     self.running.fetch_sub(1, Ordering::Relaxed);
                     format!("HTTP/1.1 503 Service Unavailable\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
                 } else {
+                    self.arrivals.lock().unwrap().push((id.clone(), Instant::now()));
                     self.record.add(format!("instance {} runs {id}", self.id));
                     let is_done = self.run((self.work)(&request), &stream);
                     self.running.fetch_sub(1, Ordering::Relaxed);
@@ -421,7 +422,9 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
+        if std::env::var("KEEP").is_err() {
+            let _ = std::fs::remove_dir_all(&self.0);
+        }
     }
 }
 
@@ -456,7 +459,7 @@
 
 impl Gateway {
     /// Starts the program of the deploy file with its template, as the platform fills it in.
-    pub fn start(machine: &Machine, store: &Store, seeds: &[SocketAddr], folder: &Path) -> Self {
+    pub fn start(machine: &Machine, store: SocketAddr, seeds: &[SocketAddr], folder: &Path) -> Self {
         let Machine { name, zone, ip, .. } = machine;
         let text = std::fs::read_to_string("deploy/settings.jsonc").expect("run in the repository");
         let seeds: Vec<String> = seeds.iter().map(|seed| format!(r#""{seed}""#)).collect();
@@ -468,7 +471,7 @@
             ("listen.control|json", format!(r#""{ip}:8382""#)),
             ("ip", ip.to_string()),
             ("seeds|json", format!("[{}]", seeds.join(","))),
-            ("platform.address|json", format!(r#""{}""#, store.address)),
+            ("platform.address|json", format!(r#""{store}""#)),
             ("limits.link_mbps", "1000.0".into()),
             ("bootstrap|json", "true".into()),
             ("bounds.retry_budget_ratio", "0.2".into()),
@@ -582,3 +585,59 @@
         self.is_in(index) || 2 * count < self.misses.len()
     }
 }
+
+// --------------------------------------------------------------------------------------- proxies
+
+/// The path of one machine to the store. While it is cut, its connections are reset and new ones
+/// are refused, as by `core_cut` with `refuse`.
+#[derive(Clone)]
+pub struct StorePath {
+    pub address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl StorePath {
+    pub fn start(ip: Ipv4Addr, store: SocketAddr) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("a proxy has a free port");
+        let path = Self { address: listener.local_addr().unwrap(), is_cut: Arc::default(), open: Arc::default() };
+        let shared = path.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                shared.forward(stream, store);
+            }
+        });
+        path
+    }
+
+    pub fn cut(&self) {
+        self.is_cut.store(true, Ordering::SeqCst);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+
+    pub fn heal(&self) {
+        self.is_cut.store(false, Ordering::SeqCst);
+    }
+
+    fn forward(&self, near: TcpStream, store: SocketAddr) {
+        if self.is_cut.load(Ordering::SeqCst) {
+            return;
+        }
+        let Ok(far) = TcpStream::connect(store) else { return };
+        for stream in [&near, &far] {
+            let _ = stream.set_nodelay(true);
+            if let Ok(copy) = stream.try_clone() {
+                self.open.lock().unwrap().push(copy);
+            }
+        }
+        for (from, to) in [(&near, &far), (&far, &near)] {
+            let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
+            thread::spawn(move || {
+                let _ = std::io::copy(&mut from, &mut to);
+                let _ = to.shutdown(std::net::Shutdown::Both);
+            });
+        }
+    }
+}
