--- a/review/stand_ins/lib.rs
+++ b/review/stand_ins/lib.rs
@@ -9,7 +9,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -270,10 +270,10 @@
     pub zone: String,
     slots: usize,
     running: Arc<AtomicUsize>,
+    working: Arc<AtomicUsize>,
     born: u128,
     work: Work,
     record: Record,
-    arrivals: Arc<Mutex<Vec<(String, Instant)>>>,
 }
 
 impl Instance {
@@ -287,10 +287,10 @@
             zone: zone.into(),
             slots,
             running: Arc::default(),
+            working: Arc::default(),
             born,
             work,
             record: record.clone(),
-            arrivals: Arc::default(),
         };
         let shared = instance.clone();
         thread::spawn(move || {
@@ -312,21 +312,12 @@
         store.put("keyed.servers", &self.id, &entry);
     }
 
-    /// The ids of the requests that it ran, and when they reached it.
-    pub fn arrivals(&self) -> Vec<(String, Instant)> {
-        self.arrivals.lock().unwrap().clone()
-    }
-
-    /// Leaves without reporting it: the entry is removed, and the instance goes on serving. Returns
-    /// the time of the store's acknowledgement.
-    pub fn leave(&self, store: &Store) -> Instant {
-        store.put("keyed.servers", &self.id, "")
-    }
-
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Some(request) = Message::read(&mut stream) {
-            let load = format!("X-Instance-Load: {},0,{},100\r\n", self.running.load(Ordering::Relaxed).min(self.slots), self.slots);
+            let running = self.running.load(Ordering::Relaxed);
+            let (busy, waiting) = (running.min(self.slots), running.saturating_sub(self.slots));
+            let load = format!("X-Instance-Load: {busy},{waiting},{},100\r\n", self.slots);
             let response = if request.second() == "/health" {
                 format!("HTTP/1.1 200 OK\r\nX-Instance-Id: {}\r\n{load}Content-Length: 0\r\n\r\n", self.id)
             } else {
@@ -338,9 +329,14 @@
                     self.running.fetch_sub(1, Ordering::Relaxed);
                     format!("HTTP/1.1 503 Service Unavailable\r\n{echo}X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
                 } else {
-                    self.arrivals.lock().unwrap().push((id.clone(), Instant::now()));
                     self.record.add(format!("instance {} runs {id}", self.id));
+                    // A request beyond the slots waits for one.
+                    while self.working.fetch_add(1, Ordering::SeqCst) >= self.slots {
+                        self.working.fetch_sub(1, Ordering::SeqCst);
+                        thread::sleep(2 * MS);
+                    }
                     let is_done = self.run((self.work)(&request), &stream);
+                    self.working.fetch_sub(1, Ordering::SeqCst);
                     self.running.fetch_sub(1, Ordering::Relaxed);
                     if !is_done {
                         self.record.add(format!("instance {} drops {id}: its connection was closed", self.id));
@@ -358,9 +354,12 @@
 
     /// Works on a request; returns `false` as soon as its connection is closed.
     fn run(&self, work: Duration, stream: &TcpStream) -> bool {
-        let end = Instant::now() + work;
-        while Instant::now() < end {
-            thread::sleep((10 * MS).min(end.saturating_duration_since(Instant::now())));
+        let (mut left, mut last) = (work.as_secs_f64(), Instant::now());
+        while left > 0.0 {
+            thread::sleep(5 * MS);
+            let now = Instant::now();
+            left -= now.duration_since(last).as_secs_f64();
+            last = now;
             let _ = stream.set_nonblocking(true);
             let peeked = stream.peek(&mut [0]);
             let _ = stream.set_nonblocking(false);
@@ -422,9 +421,7 @@
 
 impl Drop for Folder {
     fn drop(&mut self) {
-        if std::env::var("KEEP").is_err() {
-            let _ = std::fs::remove_dir_all(&self.0);
-        }
+        let _ = std::fs::remove_dir_all(&self.0);
     }
 }
 
@@ -585,59 +582,3 @@
         self.is_in(index) || 2 * count < self.misses.len()
     }
 }
-
-// --------------------------------------------------------------------------------------- proxies
-
-/// The path of one machine to the store. While it is cut, its connections are reset and new ones
-/// are refused, as by `core_cut` with `refuse`.
-#[derive(Clone)]
-pub struct StorePath {
-    pub address: SocketAddr,
-    is_cut: Arc<AtomicBool>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-impl StorePath {
-    pub fn start(ip: Ipv4Addr, store: SocketAddr) -> Self {
-        let listener = TcpListener::bind((ip, 0)).expect("a proxy has a free port");
-        let path = Self { address: listener.local_addr().unwrap(), is_cut: Arc::default(), open: Arc::default() };
-        let shared = path.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                shared.forward(stream, store);
-            }
-        });
-        path
-    }
-
-    pub fn cut(&self) {
-        self.is_cut.store(true, Ordering::SeqCst);
-        for stream in self.open.lock().unwrap().drain(..) {
-            let _ = stream.shutdown(std::net::Shutdown::Both);
-        }
-    }
-
-    pub fn heal(&self) {
-        self.is_cut.store(false, Ordering::SeqCst);
-    }
-
-    fn forward(&self, near: TcpStream, store: SocketAddr) {
-        if self.is_cut.load(Ordering::SeqCst) {
-            return;
-        }
-        let Ok(far) = TcpStream::connect(store) else { return };
-        for stream in [&near, &far] {
-            let _ = stream.set_nodelay(true);
-            if let Ok(copy) = stream.try_clone() {
-                self.open.lock().unwrap().push(copy);
-            }
-        }
-        for (from, to) in [(&near, &far), (&far, &near)] {
-            let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else { return };
-            thread::spawn(move || {
-                let _ = std::io::copy(&mut from, &mut to);
-                let _ = to.shutdown(std::net::Shutdown::Both);
-            });
-        }
-    }
-}
