--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,6 +1,6 @@
 //! A booking that a gateway reads more than 3 s after its SIGTERM is cut without an answer.
 
-#[path = "../stand_ins/lib.rs"]
+#[path = "stand_ins.rs"]
 #[allow(dead_code)]
 mod lib;
 
