Tell calls that a shutdown cuts from calls whose callers leave

Cause: a call that is dropped at the end of the grace period was logged with code 305, like one whose caller has left, and without the time of its arrival after the signal.

Change: code 306, and for each such call a line `call cut by the shutdown` with `arrived_ms` after the signal, `attempts` and `left_ms`.

--- a/src/code.rs
+++ b/src/code.rs
@@ -71,6 +71,8 @@
     UnknownClaim = 304, CONFLICT, "outcome unknown: claim holder gone";
     /// The caller left after the call was sent.
     UnknownCancelled = 305, BAD_GATEWAY, "outcome unknown: cancelled";
+    /// The entry's grace period ended before the target answered.
+    UnknownShutdown = 306, BAD_GATEWAY, "outcome unknown: entry stopped";
     /// The document has no service for this path.
     RefusedService = 401, NOT_FOUND, "refused: no such service";
     /// The service has no class for this method and path.
--- a/src/process/caller_server.rs
+++ b/src/process/caller_server.rs
@@ -64,6 +64,7 @@
         let remaining = deadline.saturating_duration_since(Instant::now());
         if monoio::time::timeout(remaining, tasks.join()).await.is_err() {
             log::warn!(cut = shutdown.inflight(); "calls were cut by the shutdown");
+            shutdown.set_aborting();
             tasks.stop();
             tasks.join().await;
         }
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -33,6 +33,9 @@
     request_stage: Semaphore,
     /// Closed when idle connections must be closed.
     idle_stage: Semaphore,
+    requested_at: Cell<Option<Instant>>,
+    /// Whether the calls still in flight are being aborted.
+    is_aborting: Cell<bool>,
     inflight: Cell<usize>,
 }
 
@@ -41,6 +44,8 @@
         Self {
             request_stage: Semaphore::new(0),
             idle_stage: Semaphore::new(0),
+            requested_at: Cell::default(),
+            is_aborting: Cell::default(),
             inflight: Cell::new(0),
         }
     }
@@ -48,9 +53,25 @@
 
 impl Shutdown {
     pub fn request(&self) {
+        self.requested_at.set(Some(Instant::now()));
         self.request_stage.close();
     }
 
+    /// The time from the request of the shutdown to `time`; `None` if it was requested later.
+    pub fn age_at(&self, time: Instant) -> Option<Duration> {
+        time.checked_duration_since(self.requested_at.get()?)
+    }
+
+    /// Records that the calls still in flight are being aborted.
+    pub fn set_aborting(&self) {
+        self.is_aborting.set(true);
+    }
+
+    /// Whether the calls still in flight are being aborted.
+    pub fn is_aborting(&self) -> bool {
+        self.is_aborting.get()
+    }
+
     pub fn is_requested(&self) -> bool {
         self.request_stage.is_closed()
     }
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -17,6 +17,8 @@
     Answered(Code, StatusCode),
     /// The caller disconnected before it got a response.
     Cancelled,
+    /// The entry's grace period ended before there was a response.
+    Aborted,
 }
 
 /// A call with its route and the state of its attempts. Logs and counts the call when it ends or is
@@ -141,13 +143,26 @@
         );
     }
 
+    /// Logs a call that the entry aborts, with the time of its arrival after the termination signal;
+    /// the field is null if it arrived before.
+    fn log_abort(&self) {
+        let arrived = self.gateway.shutdown.age_at(self.arrived);
+        log::warn!(
+            call = self.id.as_str(), route = &*self.route.name, attempts = self.sent_attempts,
+            arrived_ms = arrived.map(|age| age.as_millis() as u64),
+            left_ms = self.left(Instant::now()).as_millis() as u64;
+            "call cut by the shutdown"
+        );
+    }
+
     /// Logs and counts the end of the call.
     pub fn end(&mut self, result: CallEnd) {
         self.has_ended = true;
         let (code, status) = match result {
             CallEnd::Answered(code, status) => (code, status.as_u16()),
+            CallEnd::Aborted if self.sent_attempts > 0 => (Code::UnknownShutdown, 0),
             CallEnd::Cancelled if self.sent_attempts > 0 => (Code::UnknownCancelled, 0),
-            CallEnd::Cancelled => (Code::NotRunCancelled, 0),
+            CallEnd::Aborted | CallEnd::Cancelled => (Code::NotRunCancelled, 0),
         };
         let duration = self.arrived.elapsed();
         self.gateway.metrics.record_call(&self.route.host, &self.route.name, code, duration);
@@ -161,10 +176,16 @@
 }
 
 impl Drop for RoutedCall {
-    /// A call that is dropped before it has ended was cancelled by its caller.
+    /// A call that is dropped before it has ended was cancelled by its caller, or is aborted at the
+    /// end of a shutdown.
     fn drop(&mut self) {
-        if !self.has_ended {
-            self.end(CallEnd::Cancelled);
+        if self.has_ended {
+            return;
+        }
+        if self.gateway.shutdown.is_aborting() {
+            self.log_abort();
+            return self.end(CallEnd::Aborted);
         }
+        self.end(CallEnd::Cancelled);
     }
 }
