Refuse calls that are read late in a planned stop instead of cutting them

Cause: the gateway passed on every call it had read, whatever was left of the grace period. It accepts connections for 0.45 of it and waits 0.5 s more for the first call, so that a call with a timeout of 3 s could be sent with 2.6 s left. `call cut by the shutdown` shows it: attempts 1, arrived_ms 3,006 to 3,089, left_ms 304 to 388. Ruled out: callers that leave (code 306, not 305) and calls from before the stop (arrived_ms).

Change: the grace period decides. From a quarter of it on, 2 s at most, a call is sent only if its deadline, and 0.2 s to write the answer, lies before the end; otherwise it is refused with code 603 (503, not run), also while it looks for a target. Before, calls with a later deadline are sent if they are expected to end in time: the platform still directs callers here, and few calls last until their deadline. The decision has no network or clock (grace_period.rs). The accept window is now read with the limit at the signal, so that a grace period that a reload has shortened holds for both.

--- a/src/code.rs
+++ b/src/code.rs
@@ -102,6 +102,8 @@
     NotReadyConnections = 601, SERVICE_UNAVAILABLE, "not ready: too many connections";
     /// The calls that the entry is reading occupy as much memory as its settings allow.
     NotReadyMemory = 602, SERVICE_UNAVAILABLE, "not ready: too much in memory";
+    /// The entry is shutting down, and the call might not end before it stops. The call was not run.
+    NotReadyStopping = 603, SERVICE_UNAVAILABLE, "not ready: stopping";
 }
 
 impl Code {
--- a/src/process/caller_server.rs
+++ b/src/process/caller_server.rs
@@ -36,10 +36,6 @@
     pub limits: Rc<Cell<Limits>>,
     pub memory: Rc<MemoryBudget>,
     pub max_connections: usize,
-    /// Time between the shutdown request and closing the listener.
-    pub close_delay: Duration,
-    /// Time after the shutdown request at which the calls still in flight are aborted.
-    pub shutdown_timeout: Duration,
     pub shutdown: Rc<Shutdown>,
     pub handler: Handler,
     /// Number of open connections, including those that are being refused.
@@ -54,14 +50,15 @@
             () = self.accept() => {}
             () = self.shutdown.requested() => {}
         }
-        let deadline = Instant::now() + self.shutdown_timeout;
         log::info!("shutdown requested; reporting not ready");
-        let _ = monoio::time::timeout(self.close_delay, self.accept()).await;
-        self.drain_accept_queue(deadline).await;
+        let Some(period) = self.shutdown.grace_period() else { return };
+        let delay = period.accept_end().saturating_duration_since(Instant::now());
+        let _ = monoio::time::timeout(delay, self.accept()).await;
+        self.drain_accept_queue(period.end()).await;
         let Self { listener, shutdown, tasks, .. } = self;
         drop(listener);
         shutdown.close_idle();
-        let remaining = deadline.saturating_duration_since(Instant::now());
+        let remaining = period.end().saturating_duration_since(Instant::now());
         if monoio::time::timeout(remaining, tasks.join()).await.is_err() {
             log::warn!(cut = shutdown.inflight(); "calls were cut by the shutdown");
             shutdown.set_aborting();
@@ -84,12 +81,12 @@
 
     /// Accepts the connections in the kernel's accept queue, as closing the listener would reset
     /// them.
-    async fn drain_accept_queue(&self, deadline: Instant) {
+    async fn drain_accept_queue(&self, end: Instant) {
         while let Ok(Ok((stream, _))) =
             monoio::time::timeout(ACCEPT_QUEUE_TIMEOUT, self.listener.accept()).await
         {
             self.spawn_connection(stream);
-            if Instant::now() >= deadline {
+            if Instant::now() >= end {
                 return;
             }
         }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -14,7 +14,7 @@
 use super::recorder::Recorder;
 use super::scheduler::Scheduler;
 use super::settings::Settings;
-use super::shutdown::{Shutdown, ShutdownSignals};
+use super::shutdown::{Shutdown, ShutdownSettings, ShutdownSignals};
 use super::vm_list;
 use super::Result;
 use crate::connection::limits::Limits;
@@ -122,7 +122,8 @@
     let signal_task = Tasks::default();
     signal_task.spawn(async move {
         signals.received().await;
-        state.shutdown.request();
+        let ShutdownSettings { delay_ms, limit_ms } = state.settings.shutdown;
+        state.shutdown.request(Duration::from_millis(delay_ms), Duration::from_millis(limit_ms));
     });
     let result = run(entry, listener, admin, log).await;
     signal_task.join().await;
@@ -159,15 +160,13 @@
 }
 
 fn caller_server(entry: &Rc<Entry>, listener: TcpListener) -> CallerServer {
-    let (settings, shutdown_settings) = (&entry.settings.callers, &entry.settings.shutdown);
+    let settings = &entry.settings.callers;
     let state = entry.clone();
     CallerServer {
         listener,
         limits: Rc::new(Cell::new(Limits::from(settings))),
         memory: Rc::new(MemoryBudget::new(settings.memory_limit)),
         max_connections: settings.max_connections,
-        close_delay: Duration::from_millis(shutdown_settings.delay_ms),
-        shutdown_timeout: Duration::from_millis(shutdown_settings.limit_ms),
         shutdown: entry.shutdown.clone(),
         handler: Rc::new(move |call| {
             let entry = state.clone();
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -63,7 +63,8 @@
     background.spawn(async move {
         signals.received().await;
         log::info!(inflight = state.shutdown.inflight(); "entry stopping");
-        state.shutdown.request();
+        let settings = state.settings.borrow();
+        state.shutdown.request(settings.shutdown_delay(), settings.shutdown_limit());
     });
     new_callers(&gateway, listener).serve().await;
     background.stop();
@@ -94,8 +95,6 @@
         limits: gateway.limits.clone(),
         memory: Rc::new(MemoryBudget::new(settings.call_memory_bytes())),
         max_connections: settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize,
-        close_delay: settings.shutdown_delay(),
-        shutdown_timeout: settings.shutdown_limit(),
         shutdown: gateway.shutdown.clone(),
         handler: Rc::new(move |call| Box::pin(relay::relay(state.clone(), call))),
         open_count: Rc::default(),
--- a/src/process/gateway/search.rs
+++ b/src/process/gateway/search.rs
@@ -75,6 +75,8 @@
     Silent,
     /// The deadline has passed.
     Expired,
+    /// The entry is shutting down and the call might not end in time.
+    Stopping,
 }
 
 /// Finds a target for a call, other than those in `tried`; counts rounds and probes in `stats`.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod durations;
 pub mod entry;
 pub mod gateway;
+pub mod grace_period;
 pub mod health;
 pub mod log_writer;
 pub mod logging;
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use super::grace_period::GracePeriod;
 use super::Result;
 use crate::prelude::*;
 
@@ -33,7 +34,7 @@
     request_stage: Semaphore,
     /// Closed when idle connections must be closed.
     idle_stage: Semaphore,
-    requested_at: Cell<Option<Instant>>,
+    grace_period: Cell<Option<GracePeriod>>,
     /// Whether the calls still in flight are being aborted.
     is_aborting: Cell<bool>,
     inflight: Cell<usize>,
@@ -44,7 +45,7 @@
         Self {
             request_stage: Semaphore::new(0),
             idle_stage: Semaphore::new(0),
-            requested_at: Cell::default(),
+            grace_period: Cell::default(),
             is_aborting: Cell::default(),
             inflight: Cell::new(0),
         }
@@ -52,14 +53,34 @@
 }
 
 impl Shutdown {
-    pub fn request(&self) {
-        self.requested_at.set(Some(Instant::now()));
+    /// Requests the shutdown: new connections are accepted for `accept`, and calls in flight are
+    /// aborted after `limit`.
+    pub fn request(&self, accept: Duration, limit: Duration) {
+        self.grace_period.set(Some(GracePeriod::new(Instant::now(), accept, limit)));
         self.request_stage.close();
     }
 
-    /// The time from the request of the shutdown to `time`; `None` if it was requested later.
-    pub fn age_at(&self, time: Instant) -> Option<Duration> {
-        time.checked_duration_since(self.requested_at.get()?)
+    /// The grace period, once the shutdown is requested.
+    pub fn grace_period(&self) -> Option<GracePeriod> {
+        self.grace_period.get()
+    }
+
+    /// Whether a call with this deadline and expected duration may be sent to a target now.
+    pub fn may_send(&self, deadline: Deadline, expected: Duration) -> bool {
+        self.grace_period().is_none_or(|period| period.may_send(deadline, expected, Instant::now()))
+    }
+
+    /// Waits until a call with this deadline may no longer be sent to a target, whatever its expected
+    /// duration.
+    pub async fn refuses(&self, deadline: Deadline) {
+        self.requested().await;
+        match self.grace_period() {
+            Some(period) if !period.contains(deadline) => {
+                let left = period.notice_end().saturating_duration_since(Instant::now());
+                monoio::time::sleep(left).await;
+            }
+            Some(_) | None => std::future::pending().await,
+        }
     }
 
     /// Records that the calls still in flight are being aborted.
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -129,12 +129,18 @@
     tried: &[RegisteredTargetKey],
 ) -> Result<Choice, Code> {
     let mut stats = SearchStats::default();
-    let code = match search(gateway, routed, tried, &mut stats).await {
+    let found = monoio::select! {
+        biased;
+        () = gateway.shutdown.refuses(routed.current_deadline()) => Err(SearchError::Stopping),
+        found = search(gateway, routed, tried, &mut stats) => found,
+    };
+    let code = match found {
         Ok(choice) => return Ok(choice),
         Err(SearchError::Full) => Code::NotRunQueueFull,
         Err(SearchError::NoTarget) => no_target_code(gateway, routed),
         Err(SearchError::Silent) => Code::NotRunConnect,
         Err(SearchError::Expired) => Code::NotRunDeadline,
+        Err(SearchError::Stopping) => Code::NotReadyStopping,
     };
     routed.log_failed_search(code, tried.len(), stats);
     Err(code)
--- a/src/request/relay_attempt.rs
+++ b/src/request/relay_attempt.rs
@@ -38,6 +38,9 @@
         // The target has left or turned calls away while the call waited for a connection.
         return AttemptResult::NotSent(Code::NotRunNoTarget);
     }
+    if !routed.may_be_sent() {
+        return AttemptResult::NotSent(Code::NotReadyStopping);
+    }
     let time_left = routed.left(Instant::now());
     call.set_header(gateway.header_names.expected_target, &guard.target_id);
     call.set_header(gateway.header_names.deadline, &time_left.as_millis().max(1).to_string());
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -77,10 +77,16 @@
     }
 
     /// The deadline by the steady clock, which has not counted a suspension since the arrival.
-    fn current_deadline(&self) -> Deadline {
+    pub fn current_deadline(&self) -> Deadline {
         self.deadline.earlier_by(suspension::between(self.suspended, suspension::total()))
     }
 
+    /// Whether a shutdown of the entry, if there is one, leaves the call enough time.
+    pub fn may_be_sent(&self) -> bool {
+        let CallRequirements { deadline, typical, .. } = self.requirements();
+        self.gateway.shutdown.may_send(deadline, typical.unwrap_or_default())
+    }
+
     /// Returns the call's inputs to the admission decision.
     pub fn requirements(&self) -> CallRequirements {
         CallRequirements {
@@ -146,7 +152,8 @@
     /// Logs a call that the entry aborts, with the time of its arrival after the termination signal;
     /// the field is null if it arrived before.
     fn log_abort(&self) {
-        let arrived = self.gateway.shutdown.age_at(self.arrived);
+        let period = self.gateway.shutdown.grace_period();
+        let arrived = period.and_then(|period| self.arrived.checked_duration_since(period.start()));
         log::warn!(
             call = self.id.as_str(), route = &*self.route.name, attempts = self.sent_attempts,
             arrived_ms = arrived.map(|age| age.as_millis() as u64),
