Refuse calls that are read late in a shutdown of an entry with a document

Test: call_read_late_in_a_shutdown_is_refused_instead_of_aborted failed with the change of attempt.rs taken out (no response) and passes.

--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -42,7 +42,11 @@
         avoid: tried.clone(),
     };
     let wait_start = Instant::now();
-    let acquired = permit::acquire(&entry.scheduler, request).await;
+    let acquired = monoio::select! {
+        biased;
+        () = entry.shutdown.refuses(resolved.deadline) => Err(Code::NotReadyStopping),
+        acquired = permit::acquire(&entry.scheduler, request) => acquired,
+    };
     let (workspace, class) = (&resolved.workspace().name, &resolved.class().name);
     entry.metrics.record_wait(workspace, class, wait_start.elapsed());
     let permit = match acquired {
@@ -82,6 +86,11 @@
         permit.end(Outcome::Expired);
         return AttemptResult::NotSent(Code::NotRunDeadline);
     }
+    if !entry.shutdown.may_send(resolved.deadline, permit.expected()) {
+        drop(pooled);
+        permit.end(Outcome::Expired);
+        return AttemptResult::NotSent(Code::NotReadyStopping);
+    }
     call.set_header(header::DEADLINE, &time_left.as_millis().to_string());
     let send_start = Instant::now();
     let result = monoio::time::timeout(time_left, pooled.connection().exchange(call)).await;
--- a/tests/shutdown.rs
+++ b/tests/shutdown.rs
@@ -95,6 +95,27 @@
     assert!(entry.wait(), "the process ends without an error");
 }
 
+/// Guards against a call that is read late in a shutdown, sent to a target, and aborted there.
+#[test]
+fn call_read_late_in_a_shutdown_is_refused_instead_of_aborted() {
+    let (targets, addresses) = host_targets(1, 8, Duration::ZERO).unwrap();
+    let published = Published::new(&addresses);
+    let settings = serde_json::json!({ "shutdown": { "delayMs": 1000, "limitMs": 2000 } });
+    let mut entry = published.entry("late", settings);
+
+    entry.terminate();
+    wait_for(|| ready_code(&entry) == Some(600));
+    std::thread::sleep(Duration::from_millis(800));
+    let mut late = RawClient::connect(entry.listen);
+    late.send(&request(1_500_000));
+
+    let response = late.read_response(false).expect("the call is answered").0;
+    assert_eq!(field(&response, "cornellink-code"), Some("603"));
+    assert_eq!(call_count(&targets), 0);
+    drop(late);
+    assert!(entry.wait(), "the process ends without an error");
+}
+
 /// Guards against a shutdown without a timeout, and against calls that are aborted without a log
 /// line.
 #[test]
