Do not take lost reads of one entry for an outage in which registrations expire

Cause: an entry whose reads had failed for 0.5 s kept registrations that were missing then for 2 s, as if they had expired because their targets could not renew them. A registration lasts for three renewals, so none can expire in an outage shorter than 1.75 intervals (2.6 s); a missing one was removed. As one entry reads for all, all kept the target. The removal at the end of the 2 s also waited for the read that was running, 0.9 s more.

Change: the shortest outage that delays removals follows from the interval of the renewals (new setting renewalMs, filled in by the platform), and what did not return is removed in time beside a read that waits.

--- a/src/process/gateway/directory_health.rs
+++ b/src/process/gateway/directory_health.rs
@@ -1,10 +1,17 @@
 //! Detects outages of the directory, and decides how missing registrations are treated after one.
+//!
+//! An entry cannot tell an outage of the directory from the loss of its own reads. It need not if
+//! the failure was shorter than an outage in which a registration can expire: a registration that is
+//! missing then was removed, or its target is gone.
 
 use super::registry::AbsencePolicy;
 use crate::prelude::*;
 
-/// Shortest outage in which a registration can expire.
-const MIN_OUTAGE: Duration = Duration::from_millis(500);
+/// Shortest outage in which a registration can expire, as a multiple of the interval of its
+/// renewals. It lasts for three, and the last renewal before the outage may be a quarter late.
+const MIN_OUTAGE_RENEWALS: f64 = 1.75;
+/// Interval of the renewals if the settings name none.
+const DEFAULT_RENEWAL_INTERVAL: Duration = Duration::from_millis(1500);
 /// Time that targets get after an outage to renew their registrations.
 const RENEWAL_GRACE: Duration = Duration::from_millis(2000);
 
@@ -19,8 +26,10 @@
 }
 
 /// Whether reads of the directory succeed, and since when.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct DirectoryHealth {
+    /// Shortest outage in which a registration can expire.
+    min_outage: Duration,
     /// Time of the last read that succeeded, by this entry or another one.
     last_success: Option<Instant>,
     is_failing: bool,
@@ -28,7 +37,23 @@
     regained_at: Option<Instant>,
 }
 
+impl Default for DirectoryHealth {
+    fn default() -> Self {
+        Self::new(DEFAULT_RENEWAL_INTERVAL)
+    }
+}
+
 impl DirectoryHealth {
+    /// Creates the state before the first read; targets renew their registrations at this interval.
+    pub fn new(renewal_interval: Duration) -> Self {
+        Self {
+            min_outage: renewal_interval.mul_f64(MIN_OUTAGE_RENEWALS),
+            last_success: None,
+            is_failing: false,
+            regained_at: None,
+        }
+    }
+
     /// Records a read that succeeded at `now`.
     pub fn record_success(&mut self, now: Instant) -> HealthChange {
         let outage =
@@ -37,7 +62,7 @@
         if !std::mem::take(&mut self.is_failing) {
             return HealthChange::None;
         }
-        if outage >= MIN_OUTAGE {
+        if outage >= self.min_outage {
             self.regained_at = Some(now);
         }
         HealthChange::Regained(outage)
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -10,7 +10,9 @@
 use super::back_off::BackOff;
 use super::directory_health::HealthChange;
 use super::read_timing::ReadTiming;
+use super::registry::AbsencePolicy;
 use super::{hedged_read, Gateway};
+use crate::connection::tasks::Tasks;
 use crate::edge;
 use crate::edge::directory::{Directory, Feed, ReadOutcome};
 use crate::prelude::*;
@@ -33,12 +35,18 @@
 pub async fn follow(gateway: Rc<Gateway>, directory: Rc<dyn Directory>) {
     // Counts the outages that have ended, after which a read of the routes is sent again.
     let recoveries = Cell::new(0);
-    let targets = follow_targets(&gateway, &*directory, &recoveries);
+    let expiries = Tasks::default();
+    let targets = follow_targets(&gateway, &*directory, &recoveries, &expiries);
     let routes = follow_routes(&gateway, &*directory, &recoveries);
     monoio::join!(targets, routes);
 }
 
-async fn follow_targets(gateway: &Gateway, directory: &dyn Directory, recoveries: &Cell<u32>) {
+async fn follow_targets(
+    gateway: &Rc<Gateway>,
+    directory: &dyn Directory,
+    recoveries: &Cell<u32>,
+    expiries: &Tasks,
+) {
     let mut back_off = BackOff::default();
     let mut timing = ReadTiming::default();
     loop {
@@ -63,6 +71,7 @@
                 if let HealthChange::Regained(outage) = health_change {
                     log::info!(feed = "targets", away_ms = outage.as_millis() as u64; "directory regained");
                     recoveries.set(recoveries.get() + 1);
+                    expiries.spawn(remove_expired_in_time(gateway.clone()));
                 }
                 gateway.last_read.set(Some(now));
                 gateway.sharing.freshness.borrow_mut().record_read(Feed::Targets, now);
@@ -96,6 +105,16 @@
     }
 }
 
+/// Removes the targets that have not renewed their registrations in the time after an outage, also
+/// while a read waits for a change.
+async fn remove_expired_in_time(gateway: Rc<Gateway>) {
+    let absence = gateway.directory_health.borrow().absence_policy(Instant::now());
+    if let AbsencePolicy::KeepUntil(end) = absence {
+        monoio::time::sleep(end.saturating_duration_since(Instant::now())).await;
+        gateway.remove_expired();
+    }
+}
+
 async fn follow_routes(gateway: &Gateway, directory: &dyn Directory, recoveries: &Cell<u32>) {
     let mut back_off = BackOff::default();
     loop {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -89,6 +89,7 @@
         let response_memory = Rc::new(MemoryBudget::new(settings.response_memory_bytes()));
         let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
         let retries = RetryBudget::new(ratio, slack, settings.retry_window());
+        let directory_health = DirectoryHealth::new(settings.renewal_interval());
         Self {
             settings: RefCell::new(settings),
             header_names,
@@ -100,7 +101,7 @@
             shutdown: Rc::default(),
             limits: Rc::default(),
             rng: RefCell::new(SmallRng::from_os_rng()),
-            directory_health: RefCell::default(),
+            directory_health: RefCell::new(directory_health),
             probe_tasks: Tasks::default(),
             sharing: Sharing::default(),
             route_change: RefCell::default(),
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -62,6 +62,9 @@
     pub probes: f64,
     /// Time from the termination signal until the process is killed, in milliseconds.
     pub grace_ms: u64,
+    /// Interval at which targets renew their registrations, which expire after three of them, in
+    /// milliseconds.
+    pub renewal_ms: u64,
     /// Limit of open file descriptors.
     pub descriptors: u64,
     /// Memory of the VM in MiB.
@@ -91,6 +94,7 @@
         Field::default("retryWindowMs", TIME_MS, "10000"),
         Field::default("probes", Kind::Number { min: 0.0, max: 100_000.0 }, "50.0"),
         Field::default("graceMs", TIME_MS, "30000"),
+        Field::default("renewalMs", TIME_MS, "1500"),
         Field::default("descriptors", Kind::Integer { min: 64, max: 10_000_000 }, "4096"),
         Field::default("memoryMb", Kind::Integer { min: 32, max: 10_000_000 }, "256"),
         Field::default("log", Kind::Text { max: 256 }, "\"info\""),
@@ -115,6 +119,11 @@
         Duration::from_millis(self.retry_window_ms)
     }
 
+    /// Interval at which targets renew their registrations.
+    pub fn renewal_interval(&self) -> Duration {
+        Duration::from_millis(self.renewal_ms)
+    }
+
     /// Time from the termination signal until new calls are no longer accepted.
     pub fn shutdown_delay(&self) -> Duration {
         self.grace().mul_f64(ACCEPT_RATIO)
--- a/tests/freshness.rs
+++ b/tests/freshness.rs
@@ -133,6 +133,29 @@
     assert_eq!(directory_health.absence_policy(start + ms(300)), AbsencePolicy::Remove);
 }
 
+/// Guards against lost reads of one entry that delay the removal of targets for all that it reads
+/// for, and against registrations that expired in an outage and are removed at its end.
+#[test]
+fn only_an_outage_in_which_registrations_expire_delays_their_removal() {
+    let renewal = ms(1500);
+    for outage in (100..8000).step_by(50).map(ms) {
+        let mut directory_health = DirectoryHealth::new(renewal);
+        let start = Instant::now();
+        directory_health.record_success(start);
+        directory_health.record_failure();
+
+        let back = start + outage;
+        directory_health.record_success(back);
+
+        let policy = directory_health.absence_policy(back);
+        // A registration expires three intervals after a renewal, of which the last one before the
+        // outage is at most one and a quarter old.
+        let may_expire = outage >= renewal * 3 - renewal * 5 / 4;
+        let kept = AbsencePolicy::KeepUntil(back + ms(2000));
+        assert_eq!(policy, if may_expire { kept } else { AbsencePolicy::Remove }, "{outage:?}");
+    }
+}
+
 /// Guards against an entry that gets no updates and sleeps past the time by which changes must be
 /// in force after the directory's return, and against reads that overload a directory which is
 /// away.
