Add samples of histograms to their buckets also when nobody reads the metrics

Operators would see: the memory of an entry grows with each call until /metrics is read, which the platform does in incidents only (seen by reading in the review).

Cause: the exporter stores each sample until it renders the metrics. Change: after 1,024 samples they are added to their buckets.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -16,6 +16,9 @@
 /// Maximum number of pairs of workspace and class with their own series. A pair has three
 /// histograms of 22 series each, and a document may name 10,000 workspaces.
 const MAX_LABEL_PAIRS: usize = 200;
+/// Samples of histograms after which they are added to their buckets. Until then, or until somebody
+/// reads the metrics, each sample is stored.
+const MAX_STORED_SAMPLES: u32 = 1024;
 /// Workspace and class label of all further pairs.
 const OTHER_LABEL: &str = "other";
 
@@ -25,6 +28,8 @@
     handle: PrometheusHandle,
     /// Classes with their own series, by workspace.
     label_pairs: RefCell<HashMap<String, HashSet<String>>>,
+    /// Samples of histograms since they were last added to their buckets.
+    stored_samples: Cell<u32>,
 }
 
 impl Default for Metrics {
@@ -33,7 +38,7 @@
         let builder = builder.set_buckets(LATENCY_BUCKETS).expect("the bounds are not empty");
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
-        Self { recorder, handle, label_pairs: RefCell::default() }
+        Self { recorder, handle, label_pairs: RefCell::default(), stored_samples: Cell::default() }
     }
 }
 
@@ -66,6 +71,16 @@
         metrics::with_local_recorder(&self.recorder, || {
             metrics::histogram!(name, &labels).record(duration);
         });
+        self.limit_stored_samples();
+    }
+
+    /// Counts a sample, and adds all to their buckets if too many are stored.
+    fn limit_stored_samples(&self) {
+        let count = self.stored_samples.get() + 1;
+        self.stored_samples.set(count % MAX_STORED_SAMPLES);
+        if count == MAX_STORED_SAMPLES {
+            self.handle.run_upkeep();
+        }
     }
 
     /// Whether a pair has its own series; the first `MAX_LABEL_PAIRS` pairs do.
@@ -147,6 +162,7 @@
             metrics::histogram!("cornellink_append_seconds", "confirmed" => confirmed)
                 .record(duration);
         });
+        self.limit_stored_samples();
     }
 
     /// Sets a gauge without labels.
