Do not bring a removed target back from a registration before its removal

Seen by reading in the review: an entry that has read a removal itself takes the target again from another entry's older list, if that holds a report with a later sequence number of the same incarnation.

Cause: after a removal registrations were ordered by the number that the target gives them, not by what the directory said. Change: the offset of the removal is kept, and a registration from a lower offset is older, whatever its number. Test: registration_from_before_the_removal_does_not_bring_the_target_back failed with the comparison taken out (Added) and passes.

--- a/src/process/gateway/registry.rs
+++ b/src/process/gateway/registry.rs
@@ -133,7 +133,7 @@
             DecodedChange::Target(registration) => {
                 self.apply_registration(registration, change, now)
             }
-            DecodedChange::Removed => self.expire(&change.key, absence),
+            DecodedChange::Removed => self.expire(&change.key, Some(change.offset), absence),
             DecodedChange::Unusable(reason) => {
                 self.remove(&change.key, RemovalCause::Unusable);
                 Effect::Unusable(reason.clone())
@@ -182,7 +182,7 @@
         let missing: Vec<Change> =
             self.targets.values().filter(is_missing).map(|target| target.change.clone()).collect();
         let expire = |change: Change| {
-            let effect = self.expire(&change.key, absence);
+            let effect = self.expire(&change.key, None, absence);
             (change, effect)
         };
         missing.into_iter().map(expire).collect()
@@ -196,7 +196,7 @@
         let expired = self.targets.values().filter(|target| has_expired(target));
         let last_changes: Vec<Change> = expired.map(|target| target.change.clone()).collect();
         for change in &last_changes {
-            self.remove(&change.key, RemovalCause::Removed);
+            self.remove(&change.key, RemovalCause::Removed(None));
         }
         last_changes
     }
@@ -209,7 +209,7 @@
     ) -> Effect {
         let id = &registration.id;
         let Some(key) = self.ids.get(id).copied() else {
-            if self.removed.is_outdated(registration) {
+            if self.removed.is_outdated(registration, change.offset) {
                 return Effect::Unchanged;
             }
             self.add(registration.clone(), change.clone(), now);
@@ -224,7 +224,7 @@
             && registration.address == current.address
             && registration.service == current.service;
         if !is_same_incarnation {
-            self.remove(id, RemovalCause::Removed);
+            self.remove(id, RemovalCause::Removed(None));
             self.add(registration.clone(), change.clone(), now);
             return Effect::Reborn;
         }
@@ -243,8 +243,9 @@
         }
     }
 
-    /// Treats a target whose registration is gone as `absence` demands.
-    fn expire(&mut self, id: &str, absence: AbsencePolicy) -> Effect {
+    /// Treats a target whose registration is gone as `absence` demands; `offset` is that of the
+    /// removal, if it is known.
+    fn expire(&mut self, id: &str, offset: Option<u64>, absence: AbsencePolicy) -> Effect {
         let Some(key) = self.ids.get(id).copied() else { return Effect::Unchanged };
         let target = &mut self.targets[key];
         match absence {
@@ -258,7 +259,7 @@
                 }
             }
             AbsencePolicy::KeepUntil(_) | AbsencePolicy::Remove => {
-                self.remove(id, RemovalCause::Removed);
+                self.remove(id, RemovalCause::Removed(offset));
                 Effect::Removed
             }
         }
--- a/src/process/gateway/removed_targets.rs
+++ b/src/process/gateway/removed_targets.rs
@@ -12,8 +12,8 @@
 /// Why a target was removed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RemovalCause {
-    /// The directory removed its registration.
-    Removed,
+    /// The directory removed its registration, in the change at this offset if it is known.
+    Removed(Option<u64>),
     /// Its registration was replaced by an unusable one, perhaps by another writer. The target may
     /// repeat its own.
     Unusable,
@@ -23,6 +23,8 @@
 struct RemovedTarget {
     /// Lowest order of a registration that brings the target back.
     min_order: (u64, u64),
+    /// Offset of the removal; a registration from a lower one is older, whatever its order.
+    offset: Option<u64>,
     availability: Availability,
 }
 
@@ -39,11 +41,12 @@
     /// Keeps a target that was removed.
     pub fn insert(&mut self, last: &Registration, state: Availability, cause: RemovalCause) {
         let (born, sequence) = last.order();
-        let min_order = match cause {
-            RemovalCause::Removed => (born, sequence.saturating_add(1)),
-            RemovalCause::Unusable => (born, sequence),
+        let (min_order, offset) = match cause {
+            RemovalCause::Removed(offset) => ((born, sequence.saturating_add(1)), offset),
+            RemovalCause::Unusable => ((born, sequence), None),
         };
-        let removed = RemovedTarget { min_order, availability: state };
+        let earlier = self.targets.get(&last.id).and_then(|removed| removed.offset);
+        let removed = RemovedTarget { min_order, offset: offset.max(earlier), availability: state };
         if self.targets.insert(last.id.clone(), removed).is_some() {
             return;
         }
@@ -55,10 +58,12 @@
         }
     }
 
-    /// Whether a registration is older than the removal of its target.
-    pub fn is_outdated(&self, registration: &Registration) -> bool {
+    /// Whether a registration, read at `offset`, is older than the removal of its target.
+    pub fn is_outdated(&self, registration: &Registration, offset: u64) -> bool {
         let removed = self.targets.get(&registration.id);
-        removed.is_some_and(|removed| registration.order() < removed.min_order)
+        removed.is_some_and(|removed| {
+            registration.order() < removed.min_order || Some(offset) < removed.offset
+        })
     }
 
     /// What the incarnation of the registration has said before it was removed.
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -132,6 +132,24 @@
     assert_eq!(eligible(&registry, "s"), ["held"]);
 }
 
+/// Guards against a target that another entry's older list brings back after its removal was read:
+/// the list may hold a report that this entry has not seen, with a later sequence number.
+#[test]
+fn registration_from_before_the_removal_does_not_bring_the_target_back() {
+    let mut registry = TargetRegistry::new(4, Rc::default());
+    let (first, mut second) = (any_target("one"), any_target("one"));
+    second.sequence = first.sequence + 5;
+    let mut third = second.clone();
+    third.sequence += 1;
+    apply_registration(&mut registry, 1, &first);
+    apply_removal(&mut registry, 7, "one", AbsencePolicy::Remove);
+
+    let older = apply_registration(&mut registry, 6, &second);
+    let newer = apply_registration(&mut registry, 8, &third);
+
+    assert_eq!((older, newer), (Effect::Unchanged, Effect::Added));
+}
+
 /// Guards against late registrations that bring back targets which were removed shortly before, as
 /// many targets have been removed since the start.
 #[test]
