--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -155,8 +155,11 @@
         let Some(address) = root.string(name).filter(|address| !address.ends_with(":0")) else {
             continue;
         };
-        if names[..index].iter().any(|other| root.string(other) == Some(address)) {
-            report.add(name, "expected an address that no other listener has".into());
+        let other = names[..index].iter().find(|other| root.string(other) == Some(address));
+        if let Some(other) = other {
+            let problem =
+                format!("expected an address that no other listener has, found `{other}`'s");
+            report.add(name, problem);
         }
     }
 }
--- a/tests/gateway_settings.rs
+++ b/tests/gateway_settings.rs
@@ -11,7 +11,11 @@
 #[test]
 fn invalid_settings_report_what_is_expected() {
     let cases = [
-        ("\"ready\": \"10.1.1.5:8081\"", "\"ready\": \"10.1.1.5:8080\"", "no other listener"),
+        (
+            "\"ready\": \"10.1.1.5:8081\"",
+            "\"ready\": \"10.1.1.5:8080\"",
+            "`ready`: expected an address that no other listener has, found `listen`'s",
+        ),
         ("\"retryRatio\": 0.2", "\"retryRatio\": 2", "a number from 0 to 1"),
         ("\"graceMs\": 6000", "\"graceMs\": 0", "a whole number from 1"),
         ("\"probes\": 60", "\"probe\": 60", "did you mean `probes`?"),
