Soak: planned stops while requests are in each stage

The soak had stops of idle gateways only, so that a call read late in a stop could not be seen. A request that ran and got no response is a violation.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -22,7 +22,7 @@
         .filter(|(_, count)| **count > 1)
         .map(|(id, count)| format!("`{id}` ran {count} times"))
         .collect();
-    for call in calls {
+    for call in calls.iter().chain(&deployment.calls) {
         let ran = runs.contains_key(&call.id);
         match call.status {
             _ if call.misdirected => {
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -8,10 +8,12 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::callers::Call;
 use crate::fixture::back_end::BackEnd;
 use crate::fixture::process::Gateway;
 use crate::fixture::store::{ResponseMode, StandInStore};
 use crate::fixture::{config, free_address, wait_until};
+use crate::stops;
 
 const GATEWAY_COUNT: usize = 4;
 /// Number of back ends at the start; each drain adds one.
@@ -29,6 +31,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Fault {
     Terminate,
+    Stop,
     Kill,
     Pause,
     Hangup,
@@ -39,8 +42,9 @@
     Change,
 }
 
-const ALL_FAULTS: [Fault; 9] = [
+const ALL_FAULTS: [Fault; 10] = [
     Fault::Terminate,
+    Fault::Stop,
     Fault::Kill,
     Fault::Pause,
     Fault::Hangup,
@@ -78,6 +82,8 @@
     pub store_outages: Vec<Interval>,
     /// Indexes of the draining back ends, with the start of each drain.
     pub drains: Vec<(usize, Instant)>,
+    /// Calls to gateways during their planned stops.
+    pub calls: Vec<Call>,
     counts: BTreeMap<Fault, u32>,
 }
 
@@ -95,6 +101,7 @@
             gateway_outages: Vec::new(),
             store_outages: Vec::new(),
             drains: Vec::new(),
+            calls: Vec::new(),
             counts: BTreeMap::new(),
         };
         for _ in 0..BACK_END_COUNT {
@@ -130,6 +137,7 @@
         let number = self.rng.random_range(0..self.gateways.len());
         match fault {
             Fault::Terminate => self.terminate(number),
+            Fault::Stop => self.stop_in_stages(),
             Fault::Kill => self.interrupt_gateway(number, "KILL", duration),
             Fault::Pause => self.interrupt_gateway(number, "STOP", duration),
             Fault::Hangup => self.gateways[number].signal("HUP"),
@@ -171,6 +179,33 @@
         gateway.restart();
     }
 
+    /// Stops two gateways one after the other, or at overlapping times, while requests reach them in
+    /// each stage of the stop.
+    pub fn stop_in_stages(&mut self) {
+        let first = self.rng.random_range(0..self.gateways.len());
+        let second = (first + 1) % self.gateways.len();
+        let gap = Duration::from_millis(self.rng.random_range(0..4000));
+        let name = format!("stop-{}", self.calls.len());
+        let calls = thread::scope(|scope| {
+            let (one, two) = (&self.gateways[first], &self.gateways[second]);
+            let [mut rng, mut other] = [(); 2].map(|()| SmallRng::from_rng(&mut self.rng));
+            let stopping = scope.spawn({
+                let name = format!("{name}-a");
+                move || stops::stop(one, &name, &mut rng)
+            });
+            thread::sleep(gap);
+            let mut calls = stops::stop(two, &format!("{name}-b"), &mut other);
+            calls.extend(stopping.join().expect("stops do not panic"));
+            calls
+        });
+        self.calls.extend(calls);
+        for number in [first, second] {
+            let gateway = &mut self.gateways[number];
+            wait_until("the gateway ends", || gateway.exit_success().is_some());
+            gateway.restart();
+        }
+    }
+
     /// Kills or pauses a gateway for some time.
     fn interrupt_gateway(&mut self, number: usize, signal: &str, duration: Duration) {
         let from = Instant::now();
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
+mod stops;
 
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -53,6 +54,7 @@
     let mut deployment = Deployment::start(seed);
     let stop = Arc::new(AtomicBool::new(false));
     let callers = Callers::start(seed, deployment.gateway_addresses(), stop.clone());
+    deployment.stop_in_stages();
     for _ in 0..steps {
         deployment.inject_fault();
     }
