Leave a reader whose copy came through this entry

Cause: two entries that had restarted in an outage of the store knew only seeds and followed each other. The age of an update does not count its time on the way, so that in the cycle it never grew, and nine entries took an old copy for fresh, with an update every 8 to 10 ms. Ruled out: a lost read (no entry of the two domains sent one in that time).

Change: updates state through how many entries their copy has come, and a reader beyond 16 is left. The format of updates is 5.

--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -98,6 +98,7 @@
         if let Some(age) = update.age {
             let now = Instant::now();
             self.sharing.freshness.borrow_mut().record_update(age, now);
+            self.sharing.hops.set(update.hops.saturating_add(1));
             self.directory_health.borrow_mut().record_remote_success(now.checked_sub(age));
             self.set_targets_loaded();
         }
@@ -176,6 +177,7 @@
             routes_next: self.next_routes.get(),
             targets_next: self.next_targets.get(),
             age: self.sharing.freshness.borrow().age(Instant::now()),
+            hops: self.sharing.hops.get(),
             digest: buckets::combined(&self.registry.borrow().digests()),
             entries: self.sharing.known_entries(),
             ..update
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -74,6 +74,7 @@
                     expiries.spawn(remove_expired_in_time(gateway.clone()));
                 }
                 gateway.last_read.set(Some(now));
+                gateway.sharing.hops.set(0);
                 gateway.sharing.freshness.borrow_mut().record_read(Feed::Targets, now);
                 match result {
                     ReadOutcome::Batch(batch) => {
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -62,11 +62,18 @@
     Loaded,
 }
 
+/// Most entries between the directory and a reader that is followed. More of them means that entries
+/// follow each other in a cycle: the time that an update takes from one to the next is not counted
+/// in its age, so that their copies would stay fresh for ever.
+pub const MAX_HOPS: u8 = 16;
+
 /// State for sharing the directory and load samples with other entries.
 #[derive(Default)]
 pub struct Sharing {
     pub reader: RefCell<Reader>,
     pub freshness: RefCell<Freshness>,
+    /// Number of entries between the directory and this one's copy.
+    pub hops: Cell<u8>,
     pub subscribers: Subscribers,
     /// Whether this entry reads the directory only because the entries before it in the order
     /// failed.
--- a/src/process/gateway/sharing/subscription.rs
+++ b/src/process/gateway/sharing/subscription.rs
@@ -4,7 +4,7 @@
 use monoio::net::TcpStream;
 
 use super::update::{Update, FORMAT};
-use super::{frame, Reader, SWITCH_READER_AGE};
+use super::{frame, Reader, MAX_HOPS, SWITCH_READER_AGE};
 use crate::edge::directory::{Directory, EntryRecord};
 use crate::prelude::*;
 use crate::process::gateway::Gateway;
@@ -20,6 +20,9 @@
 /// Reason for leaving a reader that sends updates of a copy which is too old.
 pub const REASON_STALE: &str = "stale";
 
+/// Reason for leaving a reader that gets its copy from this entry, directly or through others.
+const REASON_CYCLE: &str = "cycle";
+
 /// How a subscription ended.
 pub enum SubscriptionEnd {
     /// An entry that comes before the reader may be tried again.
@@ -89,6 +92,9 @@
             };
             let read = monoio::time::timeout(limit, Update::read(stream)).await;
             let update = read.map_err(|_| reason)?.map_err(|_| "connection lost")?;
+            if update.hops >= MAX_HOPS {
+                return Err(REASON_CYCLE);
+            }
             self.gateway.apply_update(self.directory, &update);
             let now = Instant::now();
             if let Some(age) = update.age.filter(|age| *age <= SWITCH_READER_AGE) {
--- a/src/process/gateway/sharing/update.rs
+++ b/src/process/gateway/sharing/update.rs
@@ -14,7 +14,7 @@
 type Result<T> = std::result::Result<T, Error>;
 
 /// First byte that a subscriber sends: the version of the update messages that it reads.
-pub const FORMAT: u8 = 4;
+pub const FORMAT: u8 = 5;
 /// Largest encoded update, before and after compression.
 const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Smallest update that is compressed.
@@ -32,6 +32,8 @@
     pub targets_next: Option<u64>,
     /// Age of the reader's copy; none if it holds nothing yet.
     pub age: Option<Duration>,
+    /// Number of entries between the directory and the reader.
+    pub hops: u8,
     /// Digest of the reader's target registry.
     pub digest: u64,
     /// Number of entries of all domains, if the reader knows it.
@@ -85,6 +87,7 @@
     routes_next: Option<u64>,
     targets_next: Option<u64>,
     age_us: Option<u64>,
+    hops: u8,
     digest: u64,
     entries: Option<u32>,
 }
@@ -117,6 +120,7 @@
             routes_next: update.routes_next,
             targets_next: update.targets_next,
             age_us: update.age.map(|age| age.as_micros() as u64),
+            hops: update.hops,
             digest: update.digest,
             entries: update.entries,
         }
@@ -132,6 +136,7 @@
             routes_next: wire.routes_next,
             targets_next: wire.targets_next,
             age: wire.age_us.map(Duration::from_micros),
+            hops: wire.hops,
             digest: wire.digest,
             entries: wire.entries,
         }
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -410,6 +410,7 @@
             routes_next: next,
             targets_next: next.map(|next| next / 2),
             age: age.map(|age| Duration::from_micros(u64::from(age))),
+            hops: complete as u8,
             digest: complete.rotate_left(7),
             entries: age,
         };
