--- a/benches/control_cost.rs
+++ b/benches/control_cost.rs
@@ -18,8 +18,8 @@
 use cornellink::request::header;
 use cornellink::version::record::{ConfigRecord, PublishRecord, STREAM};
 use fixture::entry_process::EntryProcess;
+use fixture::free_address;
 use fixture::keys::{peers_section, Keys};
-use fixture::node::free_udp;
 
 /// Seed printed first, as by other benchmarks; this one draws no random numbers.
 const SEED: u64 = 7;
@@ -151,7 +151,7 @@
     let keys = Keys::new();
     // Name, failure domain and peer address of each entry.
     let entry_specs: Vec<(String, &str, SocketAddr)> = (0..size.entries)
-        .map(|index| (format!("control-{index}"), DOMAINS[index % DOMAINS.len()], free_udp()))
+        .map(|index| (format!("control-{index}"), DOMAINS[index % DOMAINS.len()], free_address()))
         .collect();
     let vm = |(_, domain, address): &(String, &str, SocketAddr)| Vm {
         address: *address,
--- a/tests/duplicate.rs
+++ b/tests/duplicate.rs
@@ -9,8 +9,8 @@
 use cornellink::process::runtime::block_on;
 use cornellink::request::header;
 use fixture::entry_process::EntryProcess;
+use fixture::free_address;
 use fixture::keys::Keys;
-use fixture::node::free_udp;
 use fixture::served::Published;
 
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -26,7 +26,7 @@
 
 /// Starts two entries that are peers of each other.
 fn start_peers(published: &Published, keys: &Keys) -> [EntryProcess; 2] {
-    let addresses = [free_udp(), free_udp()];
+    let addresses = [free_address(), free_address()];
     ["one", "two"].map(|name| {
         let own = addresses[usize::from(name == "two")];
         let mut peers = keys.settings_json(name, own);
--- a/tests/peer_document.rs
+++ b/tests/peer_document.rs
@@ -15,8 +15,9 @@
 use cornellink::request::header;
 use cornellink::version::record::{ConfigRecord, PublishRecord, STREAM};
 use fixture::entry_process::EntryProcess;
+use fixture::free_address;
 use fixture::keys::{peers_section, Keys, DAY};
-use fixture::node::{document, free_udp, revision, start_node, wait_until};
+use fixture::node::{document, revision, start_node, wait_until};
 
 const RETENTION: Duration = Duration::from_secs(3600);
 const TIMEOUT: Duration = Duration::from_secs(5);
@@ -83,7 +84,7 @@
     let (platform, address) = host_platform(RETENTION).unwrap();
     let (_targets, targets) = host_targets(1, 3, Duration::from_millis(1)).unwrap();
     let keys = Keys::new();
-    let (one, two) = (free_udp(), free_udp());
+    let (one, two) = (free_address(), free_address());
     let start = |name: &str, peers: Option<&PeerSettings>| {
         EntryProcess::start_with(name, "a", address, peers_section(peers))
     };
@@ -119,7 +120,7 @@
     let (platform, address) = host_platform(RETENTION).unwrap();
     let (_targets, targets) = host_targets(1, 3, Duration::from_millis(1)).unwrap();
     let (keys, next) = (Keys::new(), Keys::new());
-    let addresses = [("turn-1", free_udp()), ("turn-2", free_udp())];
+    let addresses = [("turn-1", free_address()), ("turn-2", free_address())];
     let entries = addresses.map(|(name, own)| {
         let known = addresses.map(|(_, address)| address);
         EntryProcess::start_with(
@@ -169,8 +170,9 @@
     block_on(async move {
         let log = Rc::new(MemoryLog::new(RETENTION));
         let keys = Keys::new();
-        let node =
-            |name: &str| start_node(name, "a", keys.settings(name, free_udp(), &[]), Rc::default());
+        let node = |name: &str| {
+            start_node(name, "a", keys.settings(name, free_address(), &[]), Rc::default())
+        };
         let (behind, ahead) = (node("behind"), node("ahead"));
         assert!(config_stream::install(&behind, &revision(1, 11, &[target])));
         assert!(config_stream::install(&ahead, &revision(2, 22, &[target])));
--- a/tests/peer_handshake.rs
+++ b/tests/peer_handshake.rs
@@ -9,21 +9,22 @@
 use cornellink::process::peers::message::{Hello, Message};
 use cornellink::process::peers::settings::PeerSettings;
 use cornellink::process::runtime::block_on;
+use fixture::free_address;
 use fixture::keys::{Keys, DAY};
-use fixture::node::{free_udp, start_node, wait_until};
+use fixture::node::{start_node, wait_until};
 use fixture::raw_peer::{hello, unknown_frame, RawPeer};
 
 const NAME: &str = "raw-peer";
 
 /// Starts an entry and returns its address.
 fn start(keys: &Keys) -> (Rc<Entry>, SocketAddr) {
-    let address = free_udp();
+    let address = free_address();
     let entry = start_node("entry", "a", keys.settings("entry", address, &[]), Rc::default());
     (entry, address)
 }
 
 fn raw_peer_settings(keys: &Keys) -> PeerSettings {
-    keys.settings(NAME, free_udp(), &[])
+    keys.settings(NAME, free_address(), &[])
 }
 
 fn counter(entry: &Entry, name: &str) -> u64 {
@@ -236,7 +237,7 @@
         peer.send_hello(NAME);
         wait_until("the peer is connected", || entry.peers.links().len() == 1).await;
         // From here on the peer neither reads nor acknowledges anything.
-        let other = keys.settings("other", free_udp(), &[address]);
+        let other = keys.settings("other", free_address(), &[address]);
         let other = start_node("other", "a", other, Rc::default());
         wait_until("the other is connected", || !other.peers.links().is_empty()).await;
         let link = entry.peers.links();
@@ -284,7 +285,7 @@
         assert!(before.wait_closed().await.contains("not valid any more"));
         wait_until("the connection is closed", || entry.peers.links().is_empty()).await;
         assert_refused(&entry, RawPeer::connect(&old, address)).await;
-        let renewed = next.settings(NAME, free_udp(), &[]);
+        let renewed = next.settings(NAME, free_address(), &[]);
         let mut after = RawPeer::connect(&renewed, address);
         after.open().await.unwrap();
         after.send_hello(NAME);
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -12,8 +12,9 @@
 use cornellink::process::peers::message::{ClaimQuery, ClaimReply};
 use cornellink::process::runtime::block_on;
 use cornellink::process::target::LoadReport;
+use fixture::free_address;
 use fixture::keys::Keys;
-use fixture::node::{free_udp, revision, start_node, wait_until, FixedVms};
+use fixture::node::{revision, start_node, wait_until, FixedVms};
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -35,7 +36,7 @@
 /// Starts entries from pairs of name and failure domain; they find each other through the list of
 /// VMs.
 fn start(keys: &Keys, locations: &[(&str, &str)]) -> (Vec<Rc<Entry>>, Rc<FixedVms>) {
-    let addresses: Vec<SocketAddr> = locations.iter().map(|_| free_udp()).collect();
+    let addresses: Vec<SocketAddr> = locations.iter().map(|_| free_address()).collect();
     let list = Rc::new(FixedVms::default());
     for (address, (_, domain)) in addresses.iter().zip(locations) {
         list.0.borrow_mut().push(vm(*address, domain));
@@ -229,7 +230,7 @@
 fn restarted_entries_reconnect() {
     let keys = Keys::new();
     block_on(async move {
-        let addresses = [free_udp(), free_udp()];
+        let addresses = [free_address(), free_address()];
         let start = |index: usize| {
             let name = ["one", "two"][index];
             let peers = keys.settings(name, addresses[index], &[addresses[1 - index]]);
@@ -261,7 +262,7 @@
     let keys = Keys::new();
     block_on(async move {
         let all = targets(2);
-        let (addresses, reader) = ([free_udp(), free_udp()], Rc::new(FixedVms::default()));
+        let (addresses, reader) = ([free_address(), free_address()], Rc::new(FixedVms::default()));
         let entries = [("reader", reader.clone()), ("other", Rc::default())];
         let start = |(index, (name, list)): (usize, (&str, Rc<FixedVms>))| {
             let peers = keys.settings(name, addresses[index], &[addresses[1 - index]]);
