--- a/src/code.rs
+++ b/src/code.rs
@@ -86,6 +86,10 @@
     RefusedWindow = 405, CONFLICT, "refused: key too old";
     /// The key was used for a call with another method, path or body.
     RefusedMismatch = 406, CONFLICT, "refused: key used for another call";
+    /// The call carries no key of a workspace, or one that the configuration does not name.
+    RefusedKey = 407, UNAUTHORIZED, "refused: unknown key";
+    /// The workspace has used up its quota. The call was not run.
+    RefusedQuota = 408, TOO_MANY_REQUESTS, "refused: quota used up";
     /// The head of the call is larger than the limit.
     MalformedHead = 501, REQUEST_HEADER_FIELDS_TOO_LARGE, "malformed: head too large";
     /// The head or the body of the call did not arrive in time.
@@ -122,7 +126,7 @@
     /// Refusals because of an idempotency key (404 to 406) give no such guarantee: an earlier call
     /// with the key may have run.
     pub fn is_not_run(self) -> bool {
-        matches!(self.number(), 200..=299 | 401..=403 | 500..=699)
+        matches!(self.number(), 200..=299 | 401..=403 | 407..=408 | 500..=699)
     }
 
     /// Whether the call may have run but its outcome is unknown.
--- a/src/process/gateway/header_names.rs
+++ b/src/process/gateway/header_names.rs
@@ -9,6 +9,12 @@
     pub call_id: &'static str,
     /// Time left until the deadline of the call, in milliseconds.
     pub deadline: &'static str,
+    /// Key by which a caller shows its workspace; no target gets it.
+    pub key: &'static str,
+    /// Name of the call's workspace.
+    pub workspace: &'static str,
+    /// Remaining warm-up of a target in milliseconds, in its response to a probe.
+    pub warmup: &'static str,
     /// Id of the target that the call is meant for; any other target must not run it.
     pub expected_target: &'static str,
     /// Id of the target, in its response to a probe.
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -65,6 +65,19 @@
     /// Interval at which targets renew their registrations, which expire after three of them, in
     /// milliseconds.
     pub renewal_ms: u64,
+    /// Window in which the quota of a workspace holds, in milliseconds.
+    pub quota_window_ms: u64,
+    /// Part of the quota that may be exceeded in a window.
+    pub quota_overage: f64,
+    /// Calls of a workspace in a window beyond that.
+    pub quota_slack: f64,
+    /// Factor on the rate of calls that a cold target bears, in any second.
+    pub warmup_overage: f64,
+    /// Calls in any second beyond that.
+    pub warmup_slack: f64,
+    /// Time from the request to evacuate a failure domain until its targets get no calls, in
+    /// milliseconds.
+    pub evacuation_ms: u64,
     /// Limit of open file descriptors.
     pub descriptors: u64,
     /// Memory of the VM in MiB.
@@ -95,6 +108,12 @@
         Field::default("probes", Kind::Number { min: 0.0, max: 100_000.0 }, "50.0"),
         Field::default("graceMs", TIME_MS, "30000"),
         Field::default("renewalMs", TIME_MS, "1500"),
+        Field::default("quotaWindowMs", TIME_MS, "5000"),
+        Field::default("quotaOverage", Kind::Number { min: 0.0, max: 100.0 }, "0.1"),
+        Field::default("quotaSlack", Kind::Number { min: 0.0, max: 1_000_000.0 }, "20.0"),
+        Field::default("warmupOverage", Kind::Number { min: 0.0, max: 1000.0 }, "1.5"),
+        Field::default("warmupSlack", Kind::Number { min: 0.0, max: 1_000_000.0 }, "8.0"),
+        Field::default("evacuationMs", TIME_MS, "5000"),
         Field::default("descriptors", Kind::Integer { min: 64, max: 10_000_000 }, "4096"),
         Field::default("memoryMb", Kind::Integer { min: 32, max: 10_000_000 }, "256"),
         Field::default("log", Kind::Text { max: 256 }, "\"info\""),
@@ -119,6 +138,16 @@
         Duration::from_millis(self.retry_window_ms)
     }
 
+    /// Window in which the quota of a workspace holds.
+    pub fn quota_window(&self) -> Duration {
+        Duration::from_millis(self.quota_window_ms)
+    }
+
+    /// Time from the request to evacuate a failure domain until its targets get no calls.
+    pub fn evacuation_limit(&self) -> Duration {
+        Duration::from_millis(self.evacuation_ms)
+    }
+
     /// Interval at which targets renew their registrations.
     pub fn renewal_interval(&self) -> Duration {
         Duration::from_millis(self.renewal_ms)
--- a/src/request/relay_attempt.rs
+++ b/src/request/relay_attempt.rs
@@ -41,6 +41,14 @@
     if !routed.may_be_sent() {
         return AttemptResult::NotSent(Code::NotReadyStopping);
     }
+    match routed.refresh_workspace() {
+        // The key was taken away while the call waited for a target.
+        Err(code) => return AttemptResult::NotSent(code),
+        // The next attempt is one of the other workspace.
+        Ok(true) => return AttemptResult::NotSent(Code::NotRunRefused),
+        Ok(false) => {}
+    }
+    routed.set_workspace_header(call);
     let time_left = routed.left(Instant::now());
     call.set_header(gateway.header_names.expected_target, &guard.target_id);
     call.set_header(gateway.header_names.deadline, &time_left.as_millis().max(1).to_string());
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -6,7 +6,8 @@
 use crate::process::gateway::Gateway;
 use crate::process::suspension;
 use crate::version::route::Route;
-use crate::version::route_table::ServicePlan;
+use crate::version::route_table::{RouteTable, ServicePlan};
+use crate::version::workspace_table::WorkspacePlan;
 
 /// Time limit of a call without a deadline header; the route's timeout applies if it is shorter.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3600);
@@ -28,6 +29,14 @@
     pub route: Rc<Route>,
     pub service: Rc<str>,
     pub plan: ServicePlan,
+    /// Workspace whose key the call carries; `None` if the routes name no workspaces, and for a call
+    /// of a public route that carries no known key.
+    pub workspace: Option<Rc<WorkspacePlan>>,
+    /// The key, which is marked as sensitive and sent to no target.
+    key: Option<HeaderValue>,
+    /// Version of the route table in which the key was last looked up; `None` if calls carried no
+    /// keys when the call arrived.
+    key_version: Option<u64>,
     /// Version of the route table in which the route was found.
     pub version: u64,
     pub arrived: Instant,
@@ -45,11 +54,15 @@
 
 impl RoutedCall {
     /// Finds a call's route and picks one of the route's services.
-    pub fn find(gateway: &Rc<Gateway>, call: &Call, now: Instant) -> Result<Self, Code> {
+    ///
+    /// Removes the key from the call.
+    pub fn find(gateway: &Rc<Gateway>, call: &mut Call, now: Instant) -> Result<Self, Code> {
         let table =
             gateway.table().filter(|_| gateway.are_targets_loaded()).ok_or(Code::NotReady)?;
         let host = call.header("host").unwrap_or_default();
         let route = table.find(host, call.uri.path()).ok_or(Code::RefusedService)?.clone();
+        let key = table.workspaces().and_then(|_| take_key(gateway, call));
+        let workspace = find_workspace(&table, &route, key.as_ref())?;
         let service = route.next_service().clone();
         let plan = table.service(&service).ok_or(Code::RefusedService)?.clone();
         let timeout =
@@ -62,7 +75,10 @@
             arrived: now,
             suspended: suspension::total(),
             deadline: Deadline::after(now, timeout.min(route.timeout)),
-            rank: table.rank(&service, route.priority),
+            rank: table.rank(&service, &route, workspace.as_deref()),
+            key_version: table.workspaces().map(|_| table.version),
+            workspace,
+            key,
             sent_attempts: 0,
             gateway: gateway.clone(),
             has_ended: false,
@@ -71,6 +87,38 @@
         })
     }
 
+    /// Looks the call's key up again if the routes have changed; returns whether the call now belongs
+    /// to another workspace.
+    ///
+    /// # Errors
+    ///
+    /// The key was taken away.
+    pub fn refresh_workspace(&mut self) -> Result<bool, Code> {
+        let Some(key_version) = self.key_version else { return Ok(false) };
+        let Some(table) = self.gateway.table().filter(|table| table.version != key_version) else {
+            return Ok(false);
+        };
+        let workspace = find_workspace(&table, &self.route, self.key.as_ref())?;
+        self.key_version = Some(table.version);
+        let name = |plan: &Option<Rc<WorkspacePlan>>| plan.as_ref().map(|plan| plan.name.clone());
+        let has_moved = name(&workspace) != name(&self.workspace);
+        self.rank = table.rank(&self.service, &self.route, workspace.as_deref());
+        self.workspace = workspace;
+        Ok(has_moved)
+    }
+
+    /// Names the call's workspace to the target.
+    pub fn set_workspace_header(&self, call: &mut Call) {
+        if self.key_version.is_none() {
+            return;
+        }
+        let name = self.gateway.header_names.workspace;
+        call.headers.remove(name);
+        if let Some(workspace) = &self.workspace {
+            call.set_header(name, &workspace.name);
+        }
+    }
+
     /// Returns the time until the deadline of the call's caller or route.
     pub fn left(&self, now: Instant) -> Duration {
         self.current_deadline().left(now)
@@ -182,6 +230,36 @@
     }
 }
 
+/// Removes the key and the name of a workspace from a call; returns the key if there is just one.
+fn take_key(gateway: &Gateway, call: &mut Call) -> Option<HeaderValue> {
+    let names = &gateway.header_names;
+    call.headers.remove(names.workspace);
+    let keys: Vec<HeaderValue> = call.headers.get_all(names.key).iter().cloned().collect();
+    call.headers.remove(names.key);
+    let [key] = <[HeaderValue; 1]>::try_from(keys).ok()?;
+    Some(sensitive(key))
+}
+
+/// Marks a value so that it is not logged.
+fn sensitive(mut value: HeaderValue) -> HeaderValue {
+    value.set_sensitive(true);
+    value
+}
+
+/// Finds the workspace of a call by its key.
+fn find_workspace(
+    table: &RouteTable,
+    route: &Route,
+    key: Option<&HeaderValue>,
+) -> Result<Option<Rc<WorkspacePlan>>, Code> {
+    let Some(workspaces) = table.workspaces() else { return Ok(None) };
+    match key.and_then(|key| workspaces.find(key.as_bytes())) {
+        Some(plan) => Ok(Some(plan.clone())),
+        None if route.public => Ok(None),
+        None => Err(Code::RefusedKey),
+    }
+}
+
 impl Drop for RoutedCall {
     /// A call that is dropped before it has ended was cancelled by its caller, or is aborted at the
     /// end of a shutdown.
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -20,6 +20,7 @@
 pub mod verdict;
 pub mod wire;
 pub mod workspace;
+pub mod workspace_table;
 
 use crate::prelude::*;
 
--- a/src/version/route.rs
+++ b/src/version/route.rs
@@ -24,6 +24,8 @@
     /// Urgency among the routes of a service; 0 is the most urgent.
     pub priority: u32,
     pub shares: Vec<Share>,
+    /// Whether calls need no key of a workspace.
+    pub public: bool,
     /// Position of the next call in the sequence that splits the calls among the services.
     pub split_position: Cell<u32>,
 }
--- a/src/version/route_table.rs
+++ b/src/version/route_table.rs
@@ -5,16 +5,19 @@
 use rand::Rng;
 
 use super::route::Route;
+use super::workspace_table::{WorkspacePlan, WorkspaceTable};
 use super::Result;
 use crate::prelude::*;
 
 /// Settings that all targets of a service share.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServicePlan {
     /// Path that returns a target's health and load.
     pub probe_path: String,
     /// Maximum number of connections to one target, from all entries together.
     pub connections: u32,
+    /// Calls per second that a cold target bears, from all entries together; no bound if absent.
+    pub warmup_rate: Option<f64>,
 }
 
 /// Limits on the requests and connections of callers.
@@ -36,6 +39,8 @@
     services: HashMap<Rc<str>, ServicePlan>,
     /// Distinct priorities of each service's routes.
     priorities: HashMap<Rc<str>, Vec<u32>>,
+    /// `None` if calls carry no keys.
+    workspaces: Option<WorkspaceTable>,
 }
 
 impl RouteTable {
@@ -65,7 +70,17 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Ok(Self { version, bounds, hosts, services, priorities })
+        Ok(Self { version, bounds, hosts, services, priorities, workspaces: None })
+    }
+
+    /// Adds the workspaces, whose keys the calls must carry.
+    pub fn with_workspaces(self, workspaces: WorkspaceTable) -> Self {
+        Self { workspaces: Some(workspaces), ..self }
+    }
+
+    /// The workspaces; `None` if calls carry no keys.
+    pub fn workspaces(&self) -> Option<&WorkspaceTable> {
+        self.workspaces.as_ref()
     }
 
     /// Starts the split of every route at a random position.
@@ -92,10 +107,15 @@
         self.hosts.values().flatten().any(|route| &*route.name == name)
     }
 
-    /// Number of distinct priorities among a service's routes that are more urgent than `priority`.
-    pub fn rank(&self, service: &str, priority: u32) -> u32 {
+    /// Number of distinct priorities among a service's routes that are more urgent than the
+    /// route's, and before these among the workspaces.
+    pub fn rank(&self, service: &str, route: &Route, workspace: Option<&WorkspacePlan>) -> u32 {
         let priorities = self.priorities.get(service).map_or(&[][..], Vec::as_slice);
-        priorities.iter().filter(|other| **other < priority).count() as u32
+        let by_route = priorities.iter().filter(|other| **other < route.priority).count() as u32;
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        let by_workspace =
+            priority.zip(self.workspaces()).map_or(0, |(priority, table)| table.rank(priority));
+        by_route + by_workspace
     }
 
     /// Number of routes.
