Evacuate failure domains: records, ramps, eligibility and sharing

A record `evacuate/DOMAIN` in the feed of the routes had no effect. Entries now keep a set of evacuations, pass it on to their subscribers (update format 6) and leave out the targets of evacuated domains.

--- a/src/edge/directory.rs
+++ b/src/edge/directory.rs
@@ -35,11 +35,25 @@
     }
 }
 
+/// Whether a failure domain is evacuated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuationState {
+    /// No call may be sent to the targets of the domain.
+    Active,
+    /// The domain takes calls again.
+    Ended,
+}
+
 /// The content of a change.
 #[derive(Clone, Debug)]
 pub enum DecodedChange {
     Routes(Rc<RouteTable>),
     Target(Registration),
+    /// The evacuation of a failure domain began or ended.
+    Evacuation {
+        domain: Rc<str>,
+        state: EvacuationState,
+    },
     /// The route table or the target was removed.
     Removed,
     /// The value cannot be used, for the given reason.
@@ -109,7 +123,8 @@
     /// Reads the changes from offset `from` on, waiting up to `wait` for the first one.
     fn changes(&self, feed: Feed, from: u64, wait: Duration) -> PlatformFuture<'_, ReadOutcome>;
 
-    /// Decodes a change; returns `None` if it concerns neither the routes nor a target.
+    /// Decodes a change; returns `None` if it concerns neither the routes, a target nor an
+    /// evacuation, or names a domain that cannot exist.
     fn decode(&self, feed: Feed, change: &Change) -> Option<DecodedChange>;
 
     /// Writes this entry's record, by which other entries find it.
--- a/src/edge/stand_in/directory.rs
+++ b/src/edge/stand_in/directory.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::edge::directory::{
-    Batch, Change, DecodedChange, Directory, EntryRecord, Feed, ReadOutcome,
+    Batch, Change, DecodedChange, Directory, EntryRecord, EvacuationState, Feed, ReadOutcome,
 };
 use crate::edge::{PlatformFuture, Result};
 use crate::prelude::*;
@@ -30,7 +30,8 @@
     /// Appends a change.
     pub fn append(&self, feed: Feed, key: &str, decoded: DecodedChange) {
         let value = match decoded {
-            DecodedChange::Removed => Bytes::new(),
+            DecodedChange::Removed
+            | DecodedChange::Evacuation { state: EvacuationState::Ended, .. } => Bytes::new(),
             _ => Bytes::from(self.decoded.borrow().len().to_string()),
         };
         self.decoded.borrow_mut().push(decoded);
@@ -61,6 +62,24 @@
         self.calls.get()
     }
 
+    /// The content of the change with this value.
+    fn find_decoded(&self, value: &Bytes) -> Option<DecodedChange> {
+        let index: usize = std::str::from_utf8(value).ok()?.parse().ok()?;
+        self.decoded.borrow().get(index).cloned()
+    }
+
+    /// The content of a change that removes a key, which depends on what the key held before.
+    fn decode_removal(&self, feed: Feed, change: &Change) -> DecodedChange {
+        let streams = self.streams.borrow();
+        let mut earlier = streams[feed as usize].iter().filter(|other| other.key == change.key);
+        match earlier.find_map(|other| self.find_decoded(&other.value)) {
+            Some(DecodedChange::Evacuation { domain, .. }) => {
+                DecodedChange::Evacuation { domain, state: EvacuationState::Ended }
+            }
+            Some(_) | None => DecodedChange::Removed,
+        }
+    }
+
     /// Counts a call, which fails if the directory is unavailable.
     fn count_call(&self) -> Result<()> {
         self.calls.set(self.calls.get() + 1);
@@ -105,12 +124,11 @@
         })
     }
 
-    fn decode(&self, _: Feed, change: &Change) -> Option<DecodedChange> {
+    fn decode(&self, feed: Feed, change: &Change) -> Option<DecodedChange> {
         if change.value.is_empty() {
-            return Some(DecodedChange::Removed);
+            return Some(self.decode_removal(feed, change));
         }
-        let index: usize = std::str::from_utf8(&change.value).ok()?.parse().ok()?;
-        self.decoded.borrow().get(index).cloned()
+        self.find_decoded(&change.value)
     }
 
     fn register_entry<'a>(&'a self, record: &EntryRecord) -> PlatformFuture<'a, ()> {
--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -5,6 +5,7 @@
 use std::collections::HashSet;
 
 use super::registry::{AbsencePolicy, Effect};
+use super::routes_read::RoutesRead;
 use super::sharing::buckets::{self, Buckets};
 use super::sharing::subscribe_request::SubscribeRequest;
 use super::sharing::update::Update;
@@ -17,14 +18,15 @@
 const MAX_QUOTED_CHARS: usize = 200;
 
 /// Where a change was received from, for logs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
     Directory,
     Entry,
 }
 
 impl Source {
-    fn name(self) -> &'static str {
+    /// The name in log records.
+    pub fn name(self) -> &'static str {
         match self {
             Self::Directory => "directory",
             Self::Entry => "entry",
@@ -34,7 +36,8 @@
 
 impl Gateway {
     /// Applies a batch read from the feed of routes.
-    pub fn apply_routes(&self, directory: &dyn Directory, batch: Batch) {
+    pub fn apply_routes(&self, directory: &dyn Directory, batch: Batch, read: RoutesRead) {
+        self.apply_evacuations(directory, &batch, read);
         let mut newest = None;
         for change in batch.changes {
             if self.apply_route_change(directory, &change, Source::Directory) {
@@ -81,6 +84,9 @@
 
     /// Applies an update from the entry that reads the directory for this one.
     pub fn apply_update(&self, directory: &dyn Directory, update: &Update) {
+        // Before the update's age is recorded, which says nothing of the copy's age until now.
+        let copy = self.sharing.freshness.borrow().copy_state(Instant::now());
+        self.apply_shared_evacuations(&update.evacuations, update.routes_next, copy);
         if let Some(change) = &update.routes {
             self.apply_route_change(directory, change, Source::Entry);
         }
@@ -168,10 +174,13 @@
 
     fn publish(&self, update: Update) {
         self.metrics.set_gauge("cornellink_targets", self.registry.borrow().len() as f64);
+        let evacuated = self.evacuations.borrow().active_count();
+        self.metrics.set_gauge("cornellink_evacuated_domains", evacuated as f64);
         self.sharing.subscribers.publish(&self.with_progress(update));
     }
 
-    /// Adds the offsets up to which this entry has read, and the age and digest of its copy.
+    /// Adds the offsets up to which this entry has read, the evacuations, and the age and digest of
+    /// its copy.
     pub fn with_progress(&self, update: Update) -> Update {
         Update {
             routes_next: self.next_routes.get(),
@@ -180,6 +189,7 @@
             hops: self.sharing.hops.get(),
             digest: buckets::combined(&self.registry.borrow().digests()),
             entries: self.sharing.known_entries(),
+            evacuations: self.evacuations.borrow().records(),
             ..update
         }
     }
@@ -208,7 +218,12 @@
                 log::warn!(offset = change.offset, reason = quoted(&reason); "routes refused");
                 false
             }
-            Some(DecodedChange::Target(_) | DecodedChange::Removed) | None => false,
+            Some(
+                DecodedChange::Target(_)
+                | DecodedChange::Removed
+                | DecodedChange::Evacuation { .. },
+            )
+            | None => false,
         }
     }
 
--- /dev/null
+++ b/src/process/gateway/evacuations.rs
@@ -0,0 +1,230 @@
+//! The evacuations of failure domains that this entry knows.
+//!
+//! The set is complete up to an offset of the routes' feed: a domain without a record in it was not
+//! evacuated at that offset. A record of an unknown domain from a lower offset is therefore a late
+//! copy of an evacuation that has ended.
+
+use std::collections::HashMap;
+
+use super::evacuation_effect::EvacuationEffect;
+use super::evacuation_ramp::EvacuationRamp;
+use super::evacuation_record::EvacuationRecord;
+use super::sharing::freshness::CopyState;
+use crate::edge::directory::EvacuationState;
+use crate::prelude::*;
+
+/// Most domains that are kept. The names come from records that anybody may write to the feed.
+pub const MAX_DOMAINS: usize = 64;
+
+/// An evacuation of one domain that is active or has ended.
+#[derive(Clone, Copy, Debug)]
+struct Evacuation {
+    offset: u64,
+    state: EvacuationState,
+    ramp: EvacuationRamp,
+}
+
+impl Evacuation {
+    /// Sort key of the records of one domain. At equal offsets the end is newer, as it was derived
+    /// from a snapshot that lacks the record.
+    fn order(offset: u64, state: EvacuationState) -> (u64, bool) {
+        (offset, state == EvacuationState::Ended)
+    }
+}
+
+/// The newest record of each domain, and when this entry learned of it.
+#[derive(Debug)]
+pub struct Evacuations {
+    /// Time from the acknowledgement of a record until no call reaches the domain.
+    limit: Duration,
+    domains: HashMap<Rc<str>, Evacuation>,
+    /// Offset up to which the set is complete.
+    complete_to: u64,
+}
+
+impl Evacuations {
+    /// Creates an empty set.
+    pub fn new(limit: Duration) -> Self {
+        Self { limit, domains: HashMap::default(), complete_to: 0 }
+    }
+
+    /// The share of calls that may use the targets of a domain, from 0 to 1.
+    pub fn share(&self, domain: &str, now: Instant) -> f64 {
+        let evacuation = self.domains.get(domain);
+        evacuation.map_or(1.0, |one| one.ramp.share(one.state, self.limit, now))
+    }
+
+    /// Whether no call may use the targets of a domain.
+    pub fn is_closed(&self, domain: &str, now: Instant) -> bool {
+        self.share(domain, now) <= 0.0
+    }
+
+    /// Whether all calls may use all domains.
+    pub fn is_empty(&self) -> bool {
+        self.domains.is_empty()
+    }
+
+    /// Number of domains that are evacuated.
+    pub fn active_count(&self) -> usize {
+        self.domains.values().filter(|one| one.state == EvacuationState::Active).count()
+    }
+
+    /// The newest record of each domain, sorted by domain. Ended ones are included, so that a late
+    /// copy of their beginning is recognized by others.
+    pub fn records(&self) -> Vec<EvacuationRecord> {
+        let record = |(domain, one): (&Rc<str>, &Evacuation)| EvacuationRecord {
+            domain: domain.clone(),
+            offset: one.offset,
+            state: one.state,
+        };
+        let mut records: Vec<EvacuationRecord> = self.domains.iter().map(record).collect();
+        records.sort_by(|first, second| first.domain.cmp(&second.domain));
+        records
+    }
+
+    /// Applies one record. `copy` is the state of the entry's copy right before it: if it was
+    /// stale, the record may be so old that there is no time left for a ramp.
+    pub fn apply(
+        &mut self,
+        record: &EvacuationRecord,
+        copy: CopyState,
+        now: Instant,
+    ) -> EvacuationEffect {
+        match self.domains.get(&record.domain) {
+            None if record.offset < self.complete_to => EvacuationEffect::Unchanged,
+            _ => self.put(record, copy, now),
+        }
+    }
+
+    /// Applies the records of a snapshot that ends at the offset `end`. Returns the records that have
+    /// an effect.
+    ///
+    /// Known evacuations that the snapshot lacks have ended, unless they began at `end` or later, or
+    /// this entry's own set is complete beyond it.
+    pub fn apply_snapshot(
+        &mut self,
+        records: &[EvacuationRecord],
+        end: u64,
+        copy: CopyState,
+        now: Instant,
+    ) -> Vec<(EvacuationRecord, EvacuationEffect)> {
+        self.apply_set(records, end, end >= self.complete_to, copy, now)
+    }
+
+    /// Applies the whole set of another entry, complete up to the offset `end`, as a snapshot. A set
+    /// of `MAX_DOMAINS` may lack domains, so that it ends no evacuation.
+    pub fn apply_shared(
+        &mut self,
+        records: &[EvacuationRecord],
+        end: u64,
+        copy: CopyState,
+        now: Instant,
+    ) -> Vec<(EvacuationRecord, EvacuationEffect)> {
+        let is_newer = end >= self.complete_to && records.len() < MAX_DOMAINS;
+        self.apply_set(records, end, is_newer, copy, now)
+    }
+
+    fn apply_set(
+        &mut self,
+        records: &[EvacuationRecord],
+        end: u64,
+        is_newer: bool,
+        copy: CopyState,
+        now: Instant,
+    ) -> Vec<(EvacuationRecord, EvacuationEffect)> {
+        let mut effects = if is_newer { self.end_missing(records, end, now) } else { Vec::new() };
+        for record in records {
+            let effect = match is_newer {
+                true => self.put(record, copy, now),
+                false => self.apply(record, copy, now),
+            };
+            effects.push((record.clone(), effect));
+        }
+        if is_newer {
+            self.set_complete_to(end);
+        }
+        effects.retain(|(_, effect)| *effect != EvacuationEffect::Unchanged);
+        effects
+    }
+
+    /// Records that all changes before the offset `end` were applied.
+    pub fn set_complete_to(&mut self, end: u64) {
+        if self.domains.len() < MAX_DOMAINS {
+            self.complete_to = self.complete_to.max(end);
+        }
+    }
+
+    /// Ends the evacuations of the domains that a set which is complete up to `end` lacks.
+    fn end_missing(
+        &mut self,
+        present: &[EvacuationRecord],
+        end: u64,
+        now: Instant,
+    ) -> Vec<(EvacuationRecord, EvacuationEffect)> {
+        let is_present = |domain: &str| present.iter().any(|record| &*record.domain == domain);
+        let missing = self.domains.iter().filter(|(domain, one)| {
+            one.state == EvacuationState::Active && one.offset < end && !is_present(domain)
+        });
+        let ended = missing.map(|(domain, one)| EvacuationRecord {
+            domain: domain.clone(),
+            offset: one.offset.max(end - 1),
+            state: EvacuationState::Ended,
+        });
+        let ended: Vec<EvacuationRecord> = ended.collect();
+        let end_one = |record: EvacuationRecord| {
+            let effect = self.put(&record, CopyState::Fresh, now);
+            (record, effect)
+        };
+        ended.into_iter().map(end_one).collect()
+    }
+
+    /// Stores a record unless a newer one of the domain is known.
+    fn put(
+        &mut self,
+        record: &EvacuationRecord,
+        copy: CopyState,
+        now: Instant,
+    ) -> EvacuationEffect {
+        let EvacuationRecord { domain, offset, state } = record;
+        if let Some(known) = self.domains.get_mut(domain) {
+            if Evacuation::order(*offset, *state) <= Evacuation::order(known.offset, known.state) {
+                return EvacuationEffect::Unchanged;
+            }
+            known.offset = *offset;
+            if known.state == *state {
+                return EvacuationEffect::Renewed;
+            }
+        } else if !self.make_room() {
+            return match state {
+                EvacuationState::Active => EvacuationEffect::Refused,
+                EvacuationState::Ended => EvacuationEffect::Unchanged,
+            };
+        }
+        let was_known = self.domains.contains_key(domain);
+        let start_share = match (state, copy) {
+            (EvacuationState::Active, CopyState::Stale) => 0.0,
+            // A ramp that the record interrupts continues from its share.
+            (EvacuationState::Active, CopyState::Fresh) | (EvacuationState::Ended, _) => {
+                self.share(domain, now)
+            }
+        };
+        let ramp = EvacuationRamp { start_share, since: now };
+        self.domains.insert(domain.clone(), Evacuation { offset: *offset, state: *state, ramp });
+        match state {
+            EvacuationState::Active => EvacuationEffect::Began,
+            EvacuationState::Ended if was_known => EvacuationEffect::Ended,
+            EvacuationState::Ended => EvacuationEffect::Renewed,
+        }
+    }
+
+    /// Makes room for one more domain, if need be by dropping the evacuation that ended first.
+    fn make_room(&mut self) -> bool {
+        if self.domains.len() < MAX_DOMAINS {
+            return true;
+        }
+        let ended = self.domains.iter().filter(|(_, one)| one.state == EvacuationState::Ended);
+        let first = ended.min_by_key(|(_, one)| (one.ramp.since, one.offset));
+        let Some(domain) = first.map(|(domain, _)| domain.clone()) else { return false };
+        self.domains.remove(&domain).is_some()
+    }
+}
--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -11,6 +11,8 @@
 use super::directory_health::HealthChange;
 use super::read_timing::ReadTiming;
 use super::registry::AbsencePolicy;
+use super::routes_read::RoutesRead;
+use super::sharing::freshness::CopyState;
 use super::{hedged_read, Gateway};
 use crate::connection::tasks::Tasks;
 use crate::edge;
@@ -118,6 +120,8 @@
 
 async fn follow_routes(gateway: &Gateway, directory: &dyn Directory, recoveries: &Cell<u32>) {
     let mut back_off = BackOff::default();
+    // Whether the copy was stale before the reads since the last batch, such as one with a gap.
+    let mut was_stale = false;
     loop {
         wait_until_stale(gateway).await;
         let next = gateway.next_routes.get();
@@ -133,9 +137,18 @@
                 if back_off.record_success() {
                     log::info!(feed = "routes"; "directory regained");
                 }
-                gateway.sharing.freshness.borrow_mut().record_read(Feed::Routes, Instant::now());
+                let now = Instant::now();
+                let mut freshness = gateway.sharing.freshness.borrow_mut();
+                was_stale |= freshness.copy_state(now) == CopyState::Stale;
+                freshness.record_read(Feed::Routes, now);
+                drop(freshness);
                 match result {
-                    ReadOutcome::Batch(batch) => gateway.apply_routes(directory, batch),
+                    ReadOutcome::Batch(batch) => {
+                        let copy = if was_stale { CopyState::Stale } else { CopyState::Fresh };
+                        was_stale = false;
+                        let read = RoutesRead { is_snapshot: next.is_none(), copy };
+                        gateway.apply_routes(directory, batch, read);
+                    }
                     ReadOutcome::Gap => {
                         log_gap(Feed::Routes, next);
                         gateway.next_routes.set(None);
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -2,10 +2,15 @@
 
 pub mod admin;
 pub mod apply;
+pub mod apply_evacuations;
 pub mod availability;
 pub mod back_off;
 pub mod choice;
 pub mod directory_health;
+pub mod evacuation_effect;
+pub mod evacuation_ramp;
+pub mod evacuation_record;
+pub mod evacuations;
 pub mod failure_tracker;
 pub mod follower;
 pub mod header_names;
@@ -22,6 +27,7 @@
 pub mod removed_targets;
 pub mod response_notice;
 pub mod retry_budget;
+pub mod routes_read;
 pub mod run;
 pub mod search;
 pub mod settings;
@@ -32,9 +38,10 @@
 use rand::{Rng, SeedableRng};
 
 use self::directory_health::DirectoryHealth;
+use self::evacuations::Evacuations;
 use self::header_names::HeaderNames;
 use self::probe_budget::{ProbeBudget, RateLimit};
-use self::registered_target::RegisteredTargetKey;
+use self::registered_target::{RegisteredTarget, RegisteredTargetKey};
 use self::registry::TargetRegistry;
 use self::retry_budget::RetryBudget;
 use self::settings::GatewaySettings;
@@ -52,6 +59,8 @@
 /// Bounds of the number of connections from one entry to one target.
 const MAX_CONNECTIONS: u32 = 8;
 const MIN_CONNECTIONS: u32 = 1;
+/// Time between two checks whether the domain of a target that a call waits for was closed.
+const CLOSED_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// State that the tasks of one gateway share.
 pub struct Gateway {
@@ -59,6 +68,7 @@
     pub header_names: HeaderNames,
     pub metrics: Metrics,
     pub registry: RefCell<TargetRegistry>,
+    pub evacuations: RefCell<Evacuations>,
     pub retries: RefCell<RetryBudget>,
     pub probe_budget: RefCell<ProbeBudget>,
     /// Typical durations of each route's calls.
@@ -90,11 +100,13 @@
         let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
         let retries = RetryBudget::new(ratio, slack, settings.retry_window());
         let directory_health = DirectoryHealth::new(settings.renewal_interval());
+        let evacuations = Evacuations::new(settings.evacuation_limit());
         Self {
             settings: RefCell::new(settings),
             header_names,
             metrics: Metrics::default(),
             registry: RefCell::new(TargetRegistry::new(MAX_CONNECTIONS, response_memory)),
+            evacuations: RefCell::new(evacuations),
             retries: RefCell::new(retries),
             probe_budget: RefCell::new(ProbeBudget::new(Instant::now())),
             durations: RefCell::default(),
@@ -182,7 +194,35 @@
     /// Whether a target may get new calls and probes.
     pub fn is_target_eligible(&self, key: RegisteredTargetKey) -> bool {
         let registry = self.registry.borrow();
-        registry.get(key).is_some_and(|target| target.is_eligible(Instant::now()))
+        registry.get(key).is_some_and(|target| self.may_use(target, Instant::now()))
+    }
+
+    /// Whether a target is eligible and its domain is not closed by an evacuation.
+    pub fn may_use(&self, target: &RegisteredTarget, now: Instant) -> bool {
+        target.is_eligible(now) && self.domain_share(target, now) > 0.0
+    }
+
+    /// The share of calls that may use the targets of a target's domain.
+    pub fn domain_share(&self, target: &RegisteredTarget, now: Instant) -> f64 {
+        self.evacuations.borrow().share(&target.registration.domain, now)
+    }
+
+    /// Resolves when an evacuation has closed the domain of a target.
+    pub async fn domain_closes(&self, key: RegisteredTargetKey) {
+        let is_closed = || {
+            let registry = self.registry.borrow();
+            let target = registry.get(key);
+            target.is_some_and(|target| self.domain_share(target, Instant::now()) <= 0.0)
+        };
+        while !is_closed() {
+            monoio::time::sleep(CLOSED_POLL_INTERVAL).await;
+        }
+    }
+
+    /// When the first target of a service takes calls again, if all that may be used turn them away
+    /// for a time.
+    pub fn retry_at(&self, service: &str, now: Instant) -> Option<Instant> {
+        self.registry.borrow().retry_at(service, &self.evacuations.borrow(), now)
     }
 
     /// Takes a retry of a call to a service from the budget; false if the budget is spent.
--- a/src/process/gateway/notices.rs
+++ b/src/process/gateway/notices.rs
@@ -37,7 +37,7 @@
     /// callers from returning together.
     pub fn retry_after(&self, service: &str, spread: Duration) -> Duration {
         let now = Instant::now();
-        let retry_at = self.registry.borrow().retry_at(service, now);
+        let retry_at = self.retry_at(service, now);
         let wait = retry_at.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
         wait + self.jitter(spread)
     }
--- a/src/process/gateway/probing.rs
+++ b/src/process/gateway/probing.rs
@@ -5,7 +5,7 @@
 use super::choice::cost;
 use super::load_sample::{Load, LoadSample};
 use super::overload::TargetScore;
-use super::registered_target::RegisteredTargetKey;
+use super::registered_target::{RegisteredTarget, RegisteredTargetKey};
 use super::sharing::loads::TargetSample;
 use super::Gateway;
 use crate::prelude::*;
@@ -86,7 +86,7 @@
 ) -> Option<TargetScore> {
     let now = Instant::now();
     let registry = gateway.registry.borrow();
-    let target = registry.get(key).filter(|target| target.is_eligible(now))?;
+    let target = registry.get(key).filter(|target| gateway.may_use(target, now))?;
     Some(TargetScore {
         cost: cost(target, sample, &gateway.settings.borrow().domain, now),
         queue_ratio: sample.load.map_or(0.0, |load| load.queue_ratio()),
@@ -135,9 +135,11 @@
     let now = Instant::now();
     let own = outcome.filter(|(response, _)| is_from_target(&gateway, response, &id));
     let Some((response, pooled)) = own else {
-        // No probe is sent to a target that began to turn calls away during the wait.
+        // No probe is sent to a target that began to turn calls away, or whose domain was closed,
+        // during the wait.
         let mut registry = gateway.registry.borrow_mut();
-        if let Some(target) = registry.get_mut(key).filter(|target| target.is_eligible(now)) {
+        let may_use = |target: &&mut RegisteredTarget| gateway.may_use(target, now);
+        if let Some(target) = registry.get_mut(key).filter(may_use) {
             target.failures.record_failure(now);
         }
         gateway.metrics.count_probe("failed");
--- a/src/process/gateway/registry.rs
+++ b/src/process/gateway/registry.rs
@@ -8,6 +8,7 @@
 
 use slotmap::SlotMap;
 
+use super::evacuations::Evacuations;
 use super::registered_target::{RegisteredTarget, RegisteredTargetKey};
 use super::removed_targets::{RemovalCause, RemovedTargets};
 use super::response_notice::ResponseNotice;
@@ -138,7 +139,7 @@
                 self.remove(&change.key, RemovalCause::Unusable);
                 Effect::Unusable(reason.clone())
             }
-            DecodedChange::Routes(_) => Effect::Unchanged,
+            DecodedChange::Routes(_) | DecodedChange::Evacuation { .. } => Effect::Unchanged,
         }
     }
 
@@ -158,12 +159,21 @@
     }
 
     /// When the first target of a service takes calls again, if all that are in service turn them
-    /// away for a time.
-    pub fn retry_at(&self, service: &str, now: Instant) -> Option<Instant> {
-        if self.service(service).any(|(_, target)| target.is_eligible(now)) {
+    /// away for a time. Targets of evacuated domains are left out.
+    pub fn retry_at(
+        &self,
+        service: &str,
+        evacuations: &Evacuations,
+        now: Instant,
+    ) -> Option<Instant> {
+        let open = || {
+            let targets = self.service(service).map(|(_, target)| target);
+            targets.filter(|target| !evacuations.is_closed(&target.registration.domain, now))
+        };
+        if open().any(|target| target.is_eligible(now)) {
             return None;
         }
-        self.service(service).filter_map(|(_, target)| target.retry_at(now)).min()
+        open().filter_map(|target| target.retry_at(now)).min()
     }
 
     /// Expires all targets in the buckets that are not listed in `present`.
--- a/src/process/gateway/search.rs
+++ b/src/process/gateway/search.rs
@@ -1,6 +1,7 @@
 //! Searches for a target that can take a call, in rounds of probes.
 
 use rand::seq::SliceRandom;
+use rand::Rng;
 
 use super::choice::{select_probe_targets, subset, Candidate};
 use super::load_sample::LoadSample;
@@ -89,13 +90,14 @@
     let requirements = routed.requirements();
     let mut excluded = tried.to_vec();
     let mut error = SearchError::NoTarget;
+    let draw = draw(gateway);
     loop {
         let now = Instant::now();
         let left = routed.left(now);
         if left.is_zero() {
             return Err(SearchError::Expired);
         }
-        let candidates = candidates(gateway, &routed.service, &excluded);
+        let candidates = candidates(gateway, &routed.service, &excluded, tried.len(), draw);
         if candidates.is_empty() {
             return Err(SearchError::NoTarget);
         }
@@ -114,7 +116,7 @@
             if requirements.decision_input(None, now).is_search_over() {
                 let error = if error == SearchError::Silent { error } else { SearchError::Full };
                 let choice =
-                    choose_by_samples(gateway, routed, tried, *stats).await.ok_or(error)?;
+                    choose_by_samples(gateway, routed, tried, draw, *stats).await.ok_or(error)?;
                 gateway.metrics.count("cornellink_calls_unprobed_total");
                 return Ok(choice);
             }
@@ -143,19 +145,43 @@
     }
 }
 
+/// Draws the number by which a call may use the domains whose evacuation begins or has just ended:
+/// those with a larger share.
+fn draw(gateway: &Gateway) -> f64 {
+    match gateway.evacuations.borrow().is_empty() {
+        true => 0.0,
+        false => gateway.rng.borrow_mut().random(),
+    }
+}
+
+/// The targets that a call may use. The first `tried_count` of the excluded ones cannot be used
+/// again in the search.
+///
+/// If the draw leaves only those, or none, the call may use all domains that are not closed.
 fn candidates(
     gateway: &Gateway,
     service: &str,
     excluded: &[RegisteredTargetKey],
+    tried_count: usize,
+    draw: f64,
 ) -> Vec<Candidate> {
     let now = Instant::now();
     let (registry, settings) = (gateway.registry.borrow(), gateway.settings.borrow());
-    let targets = registry.service(service).filter(|(_, target)| target.is_eligible(now));
-    let candidates = targets.map(|(key, target)| Candidate {
-        excluded: excluded.contains(&key),
-        ..Candidate::new(key, target, &settings.name, &settings.domain, now)
+    let targets = registry.service(service).filter(|(_, target)| gateway.may_use(target, now));
+    let candidates = targets.map(|(key, target)| {
+        let is_drawn = draw < gateway.domain_share(target, now);
+        let candidate = Candidate {
+            excluded: excluded.contains(&key),
+            ..Candidate::new(key, target, &settings.name, &settings.domain, now)
+        };
+        (candidate, is_drawn)
     });
-    candidates.collect()
+    let mut candidates: Vec<(Candidate, bool)> = candidates.collect();
+    let tried = &excluded[..tried_count];
+    if candidates.iter().any(|(one, is_drawn)| *is_drawn && !tried.contains(&one.key)) {
+        candidates.retain(|(_, is_drawn)| *is_drawn);
+    }
+    candidates.into_iter().map(|(candidate, _)| candidate).collect()
 }
 
 /// Chooses the best target by cached samples, for a call that can send no probe at the end of its
@@ -164,10 +190,11 @@
     gateway: &Gateway,
     routed: &RoutedCall,
     tried: &[RegisteredTargetKey],
+    draw: f64,
     stats: SearchStats,
 ) -> Option<Choice> {
     let now = Instant::now();
-    let mut candidates = subset(candidates(gateway, &routed.service, tried));
+    let mut candidates = subset(candidates(gateway, &routed.service, tried, tried.len(), draw));
     candidates.shuffle(&mut *gateway.rng.borrow_mut());
     let usable = candidates.iter().filter(|candidate| !candidate.excluded && !candidate.suspect);
     let scores = usable.filter_map(|candidate| {
--- a/src/process/gateway/sharing/freshness.rs
+++ b/src/process/gateway/sharing/freshness.rs
@@ -1,5 +1,6 @@
 //! The age of an entry's cached copy of the directory.
 
+use super::STALE_AGE;
 use crate::edge::directory::Feed;
 use crate::prelude::*;
 
@@ -12,6 +13,14 @@
 /// The same if all entries start together for the first time, before there are callers.
 pub const FIRST_START_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// Whether a change that is new to the copy can be much older than the wait of a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyState {
+    Fresh,
+    /// There was no copy, or it was too old.
+    Stale,
+}
+
 /// For each feed, the latest time at which the entry's copy was up to date with the directory.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
@@ -42,6 +51,14 @@
         Some(routes.max(age(self.targets?)))
     }
 
+    /// The state of the copy.
+    pub fn copy_state(&self, now: Instant) -> CopyState {
+        match self.age(now).is_some_and(|age| age <= STALE_AGE) {
+            true => CopyState::Fresh,
+            false => CopyState::Stale,
+        }
+    }
+
     /// Records that another entry has sent its copy, which has this age.
     pub fn record_update(&mut self, age: Duration, now: Instant) {
         let Some(time) = now.checked_sub(age) else { return };
--- a/src/process/gateway/sharing/publish.rs
+++ b/src/process/gateway/sharing/publish.rs
@@ -61,6 +61,11 @@
         });
     }
 
+    /// Drops the encoded update with the whole copy, after a change that no list of changes holds.
+    pub fn drop_full_message(&self) {
+        self.full_message.take();
+    }
+
     /// The encoded update with the whole copy; `build` is called if the cached one is outdated.
     fn full_message(&self, build: impl FnOnce() -> Update) -> Bytes {
         let mut message = self.full_message.borrow_mut();
--- a/src/process/gateway/sharing/update.rs
+++ b/src/process/gateway/sharing/update.rs
@@ -8,13 +8,16 @@
 
 use super::buckets::Buckets;
 use super::frame;
-use crate::edge::directory::Change;
+use crate::edge::directory::{Change, EvacuationState};
 use crate::prelude::*;
+use crate::process::gateway::evacuation_record::EvacuationRecord;
+use crate::process::gateway::evacuations::MAX_DOMAINS;
+use crate::version::registration::check_id;
 
 type Result<T> = std::result::Result<T, Error>;
 
 /// First byte that a subscriber sends: the version of the update messages that it reads.
-pub const FORMAT: u8 = 5;
+pub const FORMAT: u8 = 6;
 /// Largest encoded update, before and after compression.
 const MAX_BYTES: usize = 32 * 1024 * 1024;
 /// Smallest update that is compressed.
@@ -38,6 +41,8 @@
     pub digest: u64,
     /// Number of entries of all domains, if the reader knows it.
     pub entries: Option<u32>,
+    /// All evacuations that the reader knows, complete up to `routes_next`.
+    pub evacuations: Vec<EvacuationRecord>,
 }
 
 /// An encoded `UpdateWire`. Registrations repeat the same field names, so that many of them take a
@@ -90,6 +95,14 @@
     hops: u8,
     digest: u64,
     entries: Option<u32>,
+    evacuations: Vec<EvacuationWire>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct EvacuationWire {
+    domain: String,
+    offset: u64,
+    is_active: bool,
 }
 
 #[derive(Serialize, Deserialize)]
@@ -123,13 +136,43 @@
             hops: update.hops,
             digest: update.digest,
             entries: update.entries,
+            evacuations: update.evacuations.iter().map(Into::into).collect(),
         }
     }
 }
 
-impl From<UpdateWire> for Update {
-    fn from(wire: UpdateWire) -> Self {
+impl From<&EvacuationRecord> for EvacuationWire {
+    fn from(record: &EvacuationRecord) -> Self {
         Self {
+            domain: record.domain.to_string(),
+            offset: record.offset,
+            is_active: record.state == EvacuationState::Active,
+        }
+    }
+}
+
+impl TryFrom<EvacuationWire> for EvacuationRecord {
+    type Error = Error;
+
+    fn try_from(wire: EvacuationWire) -> Result<Self> {
+        check_id("domain", &wire.domain)?;
+        let state = match wire.is_active {
+            true => EvacuationState::Active,
+            false => EvacuationState::Ended,
+        };
+        Ok(Self { domain: wire.domain.into(), offset: wire.offset, state })
+    }
+}
+
+impl TryFrom<UpdateWire> for Update {
+    type Error = Error;
+
+    fn try_from(wire: UpdateWire) -> Result<Self> {
+        if wire.evacuations.len() > MAX_DOMAINS {
+            return Err(frame::malformed("update holds too many evacuations"));
+        }
+        let evacuations = wire.evacuations.into_iter().map(EvacuationRecord::try_from);
+        Ok(Self {
             complete: Buckets(wire.complete),
             routes: wire.routes.map(Into::into),
             targets: wire.targets.into_iter().map(Into::into).collect(),
@@ -139,7 +182,8 @@
             hops: wire.hops,
             digest: wire.digest,
             entries: wire.entries,
-        }
+            evacuations: evacuations.collect::<Result<_>>()?,
+        })
     }
 }
 
@@ -155,11 +199,11 @@
 
     /// Parses an update without its length prefix.
     pub fn decode(body: &[u8]) -> Result<Self> {
-        Ok(UpdateWire::try_from(frame::decode::<PackedWire>(body)?)?.into())
+        UpdateWire::try_from(frame::decode::<PackedWire>(body)?)?.try_into()
     }
 
     /// Reads an update from a stream.
     pub async fn read(stream: &mut impl AsyncReadRent) -> Result<Self> {
-        Ok(UpdateWire::try_from(frame::read::<PackedWire>(stream, MAX_BYTES).await?)?.into())
+        UpdateWire::try_from(frame::read::<PackedWire>(stream, MAX_BYTES).await?)?.try_into()
     }
 }
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -115,7 +115,7 @@
 
 /// Tells a service whose targets all turn calls away for a time from one without targets.
 fn no_target_code(gateway: &Gateway, routed: &RoutedCall) -> Code {
-    match gateway.registry.borrow().retry_at(&routed.service, Instant::now()) {
+    match gateway.retry_at(&routed.service, Instant::now()) {
         Some(_) => Code::NotRunTurnedAway,
         None => Code::NotRunNoTarget,
     }
--- a/src/request/relay_attempt.rs
+++ b/src/request/relay_attempt.rs
@@ -29,13 +29,21 @@
         return AttemptResult::NotSent(Code::NotRunDeadline);
     }
     let start = Instant::now();
-    let Some(mut pooled) = reuse_or_reconnect(choice.pooled, time_left).await else {
+    let connected = monoio::select! {
+        biased;
+        pooled = reuse_or_reconnect(choice.pooled, time_left) => pooled,
+        () = gateway.domain_closes(guard.key) => {
+            return AttemptResult::NotSent(Code::NotRunNoTarget);
+        }
+    };
+    let Some(mut pooled) = connected else {
         guard.record_failure();
         routed.log_attempt(&guard.target_id, "no connection", start);
         return AttemptResult::NotRun(Code::NotRunConnect);
     };
     if !gateway.is_target_eligible(guard.key) {
-        // The target has left or turned calls away while the call waited for a connection.
+        // The target has left or turned calls away, or its domain was evacuated, while the call
+        // waited for a connection.
         return AttemptResult::NotSent(Code::NotRunNoTarget);
     }
     if !routed.may_be_sent() {
--- a/tests/cycle.rs
+++ b/tests/cycle.rs
@@ -9,6 +9,8 @@
 use cornellink::edge::stand_in::directory::StandInDirectory;
 use cornellink::edge::PlatformFuture;
 use cornellink::prelude::*;
+use cornellink::process::gateway::routes_read::RoutesRead;
+use cornellink::process::gateway::sharing::freshness::CopyState;
 use cornellink::process::gateway::sharing::{publish, subscribe};
 use cornellink::process::gateway::{follower, Gateway};
 use cornellink::process::runtime::block_on;
@@ -59,7 +61,8 @@
     directory: &UnlistedDirectory,
 ) -> Rc<Gateway> {
     let gateway = Rc::new(Gateway::new(settings(name, Some(address)), HEADER_NAMES));
-    gateway.apply_routes(directory, directory.snapshot(Feed::Routes).await.unwrap());
+    let read = RoutesRead { is_snapshot: true, copy: CopyState::Stale };
+    gateway.apply_routes(directory, directory.snapshot(Feed::Routes).await.unwrap(), read);
     gateway.apply_targets(directory, directory.snapshot(Feed::Targets).await.unwrap(), true);
     gateway.sharing.freshness.borrow_mut().record_update(Duration::ZERO, Instant::now());
     gateway
--- a/tests/notices.rs
+++ b/tests/notices.rs
@@ -5,6 +5,7 @@
 use cornellink::edge::directory::{DecodedChange, Feed};
 use cornellink::prelude::*;
 use cornellink::process::gateway::availability::Availability;
+use cornellink::process::gateway::evacuations::Evacuations;
 use cornellink::process::gateway::load_sample::LoadSample;
 use cornellink::process::gateway::probing::record_peer_sample;
 use cornellink::process::gateway::registry::{AbsencePolicy, TargetRegistry};
@@ -131,7 +132,9 @@
     apply_registration(&mut registry, 3, &next_report(3));
 
     assert!(eligible(&registry, "s").is_empty());
-    assert!(registry.retry_at("s", now).is_some_and(|at| at >= now + delay));
+    assert!(registry
+        .retry_at("s", &Evacuations::new(Duration::from_secs(5)), now)
+        .is_some_and(|at| at >= now + delay));
     assert!(registry.find("one").unwrap().is_eligible(now + delay + Duration::from_secs(1)));
     apply_registration(&mut registry, 4, &next_incarnation());
     assert_eq!(eligible(&registry, "s"), ["one"]);
--- a/tests/resync.rs
+++ b/tests/resync.rs
@@ -5,12 +5,17 @@
 use cornellink::edge::directory::{Batch, Change, DecodedChange, Feed};
 use cornellink::edge::stand_in::directory::StandInDirectory;
 use cornellink::prelude::*;
+use cornellink::process::gateway::routes_read::RoutesRead;
+use cornellink::process::gateway::sharing::freshness::CopyState;
 use cornellink::process::gateway::sharing::update::Update;
 use cornellink::process::gateway::Gateway;
 use cornellink::version::registration::Registration;
 use fixture::gateway::{idempotent_route, settings, HEADER_NAMES};
 use fixture::registry::{any_target, eligible, table};
 
+/// A read of changes by an entry whose copy is fresh.
+const READ_CHANGES: RoutesRead = RoutesRead { is_snapshot: false, copy: CopyState::Fresh };
+
 /// A directory with routes and some targets.
 struct Deployment {
     directory: StandInDirectory,
@@ -35,7 +40,7 @@
             let changes = self.directory.all_changes(feed);
             let batch = Batch { next: changes.len() as u64, changes };
             match feed {
-                Feed::Routes => gateway.apply_routes(&self.directory, batch),
+                Feed::Routes => gateway.apply_routes(&self.directory, batch, READ_CHANGES),
                 Feed::Targets => gateway.apply_targets(&self.directory, batch, false),
             }
             gateway.sharing.freshness.borrow_mut().record_read(feed, Instant::now());
--- a/tests/sharing.rs
+++ b/tests/sharing.rs
@@ -4,8 +4,10 @@
 
 use std::collections::BTreeMap;
 
-use cornellink::edge::directory::{Change, EntryRecord};
+use cornellink::edge::directory::{Change, EntryRecord, EvacuationState};
 use cornellink::prelude::*;
+use cornellink::process::gateway::evacuation_record::EvacuationRecord;
+use cornellink::process::gateway::evacuations::MAX_DOMAINS;
 use cornellink::process::gateway::registry::{AbsencePolicy, TargetRegistry};
 use cornellink::process::gateway::sharing::buckets::Buckets;
 use cornellink::process::gateway::sharing::reader_order::{ReaderOrder, MAX_FOLLOWERS};
@@ -399,6 +401,7 @@
     fn update_round_trips(
         complete: u64, targets: Vec<(u64, String, Vec<u8>)>, next: Option<u64>, age: Option<u32>
     ) -> bool {
+        let evacuations = targets.iter().take(MAX_DOMAINS).enumerate().map(evacuation).collect();
         let targets: Vec<Change> = targets
             .into_iter()
             .map(|(offset, key, value)| Change { offset, key: key.into(), value: value.into() })
@@ -413,6 +416,7 @@
             hops: complete as u8,
             digest: complete.rotate_left(7),
             entries: age,
+            evacuations,
         };
         Update::decode(&update.encode()[4..]).unwrap() == update
     }
@@ -423,6 +427,37 @@
     }
 }
 
+/// An evacuation with the offset of a change.
+fn evacuation((number, (offset, ..)): (usize, &(u64, String, Vec<u8>))) -> EvacuationRecord {
+    let state = match offset % 2 {
+        0 => EvacuationState::Active,
+        _ => EvacuationState::Ended,
+    };
+    EvacuationRecord { domain: format!("domain-{number}").into(), offset: *offset, state }
+}
+
+/// Guards against an update that fills an entry with evacuations, or with names that no target can
+/// have and that are written to logs.
+#[test]
+fn updates_with_odd_evacuations_are_refused() {
+    let record = |domain: String| EvacuationRecord {
+        domain: domain.into(),
+        offset: 1,
+        state: EvacuationState::Active,
+    };
+    let decode = |domains: Vec<String>| {
+        let evacuations = domains.into_iter().map(record).collect();
+        Update::decode(&Update { evacuations, ..Update::default() }.encode()[4..])
+    };
+    let domains = |count: usize| (0..count).map(|number| format!("domain-{number}")).collect();
+
+    assert_eq!(decode(domains(MAX_DOMAINS)).unwrap().evacuations.len(), MAX_DOMAINS);
+    assert!(decode(domains(MAX_DOMAINS + 1)).is_err());
+    for name in [String::new(), "a b".into(), "line\nbreak".into(), "x".repeat(256)] {
+        assert!(decode(vec![name.clone()]).is_err(), "{name:?}");
+    }
+}
+
 /// The registration of a target as a directory holds it.
 fn stored_change(number: u64) -> Change {
     let value = serde_json::json!({
