Test evacuations; a late copy no longer brings back an ended one

The property test over updates of two readers found that a record from below the offset up to which the set is complete was applied if an older end of the same domain was known. Such records are ignored now, and ends are dropped after their ramp, so that 64 past evacuations do not make every set incomplete.

--- a/src/process/gateway/apply_evacuations.rs
+++ b/src/process/gateway/apply_evacuations.rs
@@ -37,7 +37,7 @@
             let effect = evacuations.apply(&record, read.copy, now);
             effects.push((record, effect));
         }
-        evacuations.set_complete_to(batch.next);
+        evacuations.set_complete_to(batch.next, now);
         drop(evacuations);
         self.record_evacuations(&effects, Source::Directory);
     }
--- a/src/process/gateway/evacuations.rs
+++ b/src/process/gateway/evacuations.rs
@@ -1,8 +1,8 @@
 //! The evacuations of failure domains that this entry knows.
 //!
-//! The set is complete up to an offset of the routes' feed: a domain without a record in it was not
-//! evacuated at that offset. A record of an unknown domain from a lower offset is therefore a late
-//! copy of an evacuation that has ended.
+//! The set is complete up to an offset of the routes' feed: it holds the newest record before that
+//! offset of each domain that was evacuated there. Any other record from a lower offset is therefore
+//! a late copy, and the end of an evacuation need not be kept beyond its ramp.
 
 use std::collections::HashMap;
 
@@ -90,9 +90,9 @@
         copy: CopyState,
         now: Instant,
     ) -> EvacuationEffect {
-        match self.domains.get(&record.domain) {
-            None if record.offset < self.complete_to => EvacuationEffect::Unchanged,
-            _ => self.put(record, copy, now),
+        match record.offset < self.complete_to {
+            true => EvacuationEffect::Unchanged,
+            false => self.put(record, copy, now),
         }
     }
 
@@ -112,7 +112,7 @@
     }
 
     /// Applies the whole set of another entry, complete up to the offset `end`, as a snapshot. A set
-    /// of `MAX_DOMAINS` may lack domains, so that it ends no evacuation.
+    /// with `MAX_DOMAINS` active evacuations may lack some, so that it ends none.
     pub fn apply_shared(
         &mut self,
         records: &[EvacuationRecord],
@@ -120,7 +120,9 @@
         copy: CopyState,
         now: Instant,
     ) -> Vec<(EvacuationRecord, EvacuationEffect)> {
-        let is_newer = end >= self.complete_to && records.len() < MAX_DOMAINS;
+        let is_active = |record: &&EvacuationRecord| record.state == EvacuationState::Active;
+        let is_whole = records.iter().filter(is_active).count() < MAX_DOMAINS;
+        let is_newer = is_whole && end >= self.complete_to;
         self.apply_set(records, end, is_newer, copy, now)
     }
 
@@ -141,17 +143,24 @@
             effects.push((record.clone(), effect));
         }
         if is_newer {
-            self.set_complete_to(end);
+            self.set_complete_to(end, now);
         }
         effects.retain(|(_, effect)| *effect != EvacuationEffect::Unchanged);
         effects
     }
 
-    /// Records that all changes before the offset `end` were applied.
-    pub fn set_complete_to(&mut self, end: u64) {
-        if self.domains.len() < MAX_DOMAINS {
+    /// Records that all changes before the offset `end` were applied, and drops the ended
+    /// evacuations of which neither a ramp nor a late copy is left.
+    pub fn set_complete_to(&mut self, end: u64, now: Instant) {
+        if self.active_count() < MAX_DOMAINS {
             self.complete_to = self.complete_to.max(end);
         }
+        let (limit, complete_to) = (self.limit, self.complete_to);
+        self.domains.retain(|_, one| {
+            one.state == EvacuationState::Active
+                || one.offset >= complete_to
+                || one.ramp.share(one.state, limit, now) < 1.0
+        });
     }
 
     /// Ends the evacuations of the domains that a set which is complete up to `end` lacks.
