Limit the calls to cold targets by a share of each entry

A target that warms up crashes if all entries send it calls at once. An entry now sends a cold target of a service with a warm-up rate only the calls that it has tokens for, and prefers such a target while it has one. Services without a warm-up rate are unaffected. Built; not yet tested.

--- a/src/process/gateway/choice.rs
+++ b/src/process/gateway/choice.rs
@@ -1,9 +1,12 @@
 //! Selection of the targets to probe, and the cost of sending a call to a target.
 
-use rand::seq::SliceRandom;
+use std::collections::HashMap;
+
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::cold_targets::ColdAccess;
 use super::load_sample::LoadSample;
 use super::registered_target::{RegisteredTarget, RegisteredTargetKey};
 use crate::prelude::*;
@@ -20,7 +23,7 @@
 /// Factor on the cost of a remote target.
 const REMOTE_FACTOR: f64 = 1.3;
 /// Factor on the cost of a target that is warming up.
-const WARMUP_FACTOR: f64 = 2.0;
+pub const WARMUP_FACTOR: f64 = 2.0;
 /// Factor on the cost of a target that reports itself as unhealthy. It is finite because a health
 /// check can be wrong.
 const UNHEALTHY_FACTOR: f64 = 10.0;
@@ -65,6 +68,8 @@
     pub excluded: bool,
     /// Whether all pooled connections to the target are in use, so that a probe opens another one.
     pub exhausted: bool,
+    /// Whether the warm-up of the target allows a call.
+    pub cold: ColdAccess,
     pub estimate: LoadEstimate,
     /// Rendezvous hash of the entry and the target; the lowest ranks form the subset.
     pub rank: u64,
@@ -87,10 +92,20 @@
             suspect: target.is_suspect(now),
             excluded: false,
             exhausted: target.pool.is_exhausted(),
+            cold: ColdAccess::Unlimited,
             estimate: LoadEstimate::new(target, domain, now),
             rank: xxh3_64_with_seed(registration.id.as_bytes(), seed),
         }
     }
+
+    /// Whether the call may be sent to the target.
+    pub fn is_usable(&self) -> bool {
+        !self.excluded && self.cold != ColdAccess::Deferred
+    }
+
+    fn may_be_probed(&self) -> bool {
+        self.is_usable() && self.estimate != LoadEstimate::Busy
+    }
 }
 
 /// Selects the targets to probe: local ones first, suspect ones only if there are no others. If
@@ -104,8 +119,8 @@
 ) -> Vec<RegisteredTargetKey> {
     let (mut local, mut remote): (Vec<_>, Vec<_>) =
         subset(candidates).into_iter().partition(|candidate| candidate.local);
-    local.retain(|candidate| !candidate.excluded && candidate.estimate != LoadEstimate::Busy);
-    remote.retain(|candidate| !candidate.excluded && candidate.estimate != LoadEstimate::Busy);
+    local.retain(Candidate::may_be_probed);
+    remote.retain(Candidate::may_be_probed);
     for candidates in [&mut local, &mut remote] {
         candidates.shuffle(rng);
         candidates.sort_by_key(|candidate| (candidate.estimate, candidate.exhausted));
@@ -124,20 +139,60 @@
 
 /// The entry's subset of the targets; suspect ones are included only if the call can use no other.
 pub fn subset(mut candidates: Vec<Candidate>) -> Vec<Candidate> {
-    if candidates.iter().any(|candidate| !candidate.suspect && !candidate.excluded) {
+    if candidates.iter().any(|candidate| !candidate.suspect && candidate.is_usable()) {
         candidates.retain(|candidate| !candidate.suspect);
     }
     candidates.sort_by_key(|candidate| candidate.rank);
     let (mut local, mut remote): (Vec<_>, Vec<_>) =
         candidates.into_iter().partition(|candidate| candidate.local);
-    let local_count =
-        local.len().min(LOCAL_SUBSET_SIZE.max(SUBSET_SIZE.saturating_sub(remote.len())));
+    let (local_count, remote_count) = subset_sizes(local.len(), remote.len());
     local.truncate(local_count);
-    remote.truncate(SUBSET_SIZE - local_count);
+    remote.truncate(remote_count);
     local.append(&mut remote);
     local
 }
 
+/// Numbers of local and remote targets in the subset of an entry, of those that there are.
+fn subset_sizes(local: usize, remote: usize) -> (usize, usize) {
+    let local_count = local.min(LOCAL_SUBSET_SIZE.max(SUBSET_SIZE.saturating_sub(remote)));
+    (local_count, remote.min(SUBSET_SIZE - local_count))
+}
+
+/// Probability that an entry has a target of the failure domain `domain` in its subset; `domains`
+/// holds the domain of each target of the service. The domains are taken to have equally many
+/// entries.
+pub fn subset_ratio<'a>(domains: impl Iterator<Item = &'a str>, domain: &str) -> f64 {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for domain in domains {
+        *counts.entry(domain).or_default() += 1;
+    }
+    let total: usize = counts.values().sum();
+    let ratios = counts.iter().map(|(entry_domain, local)| {
+        let (local_count, remote_count) = subset_sizes(*local, total - local);
+        match *entry_domain == domain {
+            true => local_count as f64 / *local as f64,
+            false => remote_count as f64 / (total - local) as f64,
+        }
+    });
+    ratios.sum::<f64>() / counts.len().max(1) as f64
+}
+
+/// Selects a cold target of the subset that gets a call although warm ones cost less, so that it
+/// warms up.
+pub fn select_cold_target(
+    candidates: &[Candidate],
+    rng: &mut impl Rng,
+) -> Option<RegisteredTargetKey> {
+    if candidates.iter().all(|candidate| candidate.cold != ColdAccess::Granted) {
+        return None;
+    }
+    let mut subset = subset(candidates.to_vec());
+    subset.retain(|candidate| {
+        candidate.cold == ColdAccess::Granted && !candidate.excluded && !candidate.suspect
+    });
+    subset.choose(rng).map(|candidate| candidate.key)
+}
+
 /// Expected cost of a call from an entry in `domain` at a target, as a multiple of the call's
 /// typical duration.
 pub fn cost(target: &RegisteredTarget, sample: &LoadSample, domain: &str, now: Instant) -> f64 {
@@ -147,7 +202,7 @@
     if &*target.registration.domain != domain {
         cost *= REMOTE_FACTOR;
     }
-    if now < target.warm_at {
+    if target.warmup.is_cold(now) {
         cost *= WARMUP_FACTOR;
     }
     if !sample.healthy {
--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -5,6 +5,8 @@
 pub mod availability;
 pub mod back_off;
 pub mod choice;
+pub mod cold_share;
+pub mod cold_targets;
 pub mod directory_health;
 pub mod failure_tracker;
 pub mod follower;
@@ -27,6 +29,7 @@
 pub mod settings;
 pub mod sharing;
 pub mod typical_durations;
+pub mod warmup;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
--- a/src/process/gateway/probing.rs
+++ b/src/process/gateway/probing.rs
@@ -3,6 +3,7 @@
 use local_sync::mpsc::unbounded::{self, Tx};
 
 use super::choice::cost;
+use super::cold_targets::ColdAccess;
 use super::load_sample::{Load, LoadSample};
 use super::overload::TargetScore;
 use super::registered_target::RegisteredTargetKey;
@@ -78,13 +79,16 @@
     round
 }
 
-/// Scores a target; `None` if it may not get new calls.
+/// Scores a target; `None` if it may not get new calls, or is cold and this entry has no token.
 pub fn score_target(
     gateway: &Gateway,
     key: RegisteredTargetKey,
     sample: &LoadSample,
 ) -> Option<TargetScore> {
     let now = Instant::now();
+    if gateway.cold_access(key, now) == ColdAccess::Deferred {
+        return None;
+    }
     let registry = gateway.registry.borrow();
     let target = registry.get(key).filter(|target| target.is_eligible(now))?;
     Some(TargetScore {
@@ -131,6 +135,7 @@
 ) {
     let Some((pool, id)) = find_pool(&gateway, key) else { return };
     pool.set_limit(gateway.connection_limit(plan.connections));
+    let asked_at = Instant::now();
     let outcome = exchange(&gateway, key, &pool, &plan.probe_path).await;
     let now = Instant::now();
     let own = outcome.filter(|(response, _)| is_from_target(&gateway, response, &id));
@@ -145,6 +150,7 @@
         return;
     };
     gateway.record_notice(key, &response);
+    gateway.record_warmup(key, &response, asked_at);
     if gateway.header_names.is_not_run(&response) {
         // The target would refuse a call as well.
         if let Some(target) = gateway.registry.borrow_mut().get_mut(key) {
--- a/src/process/gateway/registered_target.rs
+++ b/src/process/gateway/registered_target.rs
@@ -1,8 +1,10 @@
 //! A registered target with its connections, load and recent failures.
 
 use super::availability::Availability;
+use super::cold_share::ColdShare;
 use super::failure_tracker::FailureTracker;
 use super::load_sample::LoadSample;
+use super::warmup::Warmup;
 use crate::edge::directory::Change;
 use crate::prelude::*;
 use crate::process::pool::Pool;
@@ -19,8 +21,10 @@
     pub pool: Rc<Pool>,
     /// The change that holds the current registration, in the format of the directory.
     pub change: Change,
-    /// End of the warm-up, after which the target works at full speed.
-    pub warm_at: Instant,
+    /// The time until the target works at full speed.
+    pub warmup: Warmup,
+    /// This entry's share of the calls during the current warm-up, once it has been needed.
+    pub cold_share: Option<ColdShare>,
     /// When the target is removed, if its registration expired during an outage of the directory.
     pub expires_at: Option<Instant>,
     pub failures: FailureTracker,
@@ -36,7 +40,8 @@
     pub fn new(registration: Registration, change: Change, pool: Pool, now: Instant) -> Self {
         let pool = Rc::new(pool);
         Self {
-            warm_at: now + registration.warmup,
+            warmup: Warmup::new(registration.warmup, now),
+            cold_share: None,
             registration,
             pool,
             change,
--- a/src/process/gateway/registry.rs
+++ b/src/process/gateway/registry.rs
@@ -231,7 +231,7 @@
         let starts_draining =
             current.state == TargetState::Ready && registration.state == TargetState::Draining;
         target.change = change.clone();
-        target.warm_at = now + registration.warmup;
+        target.warmup.register(registration.warmup, now);
         // Takes the old registration out of the digests and adds the new one.
         buckets::toggle(&mut self.digests, &target.registration);
         buckets::toggle(&mut self.digests, registration);
--- a/src/process/gateway/search.rs
+++ b/src/process/gateway/search.rs
@@ -2,9 +2,10 @@
 
 use rand::seq::SliceRandom;
 
-use super::choice::{select_probe_targets, subset, Candidate};
+use super::choice::{select_cold_target, select_probe_targets, subset, Candidate, WARMUP_FACTOR};
+use super::cold_targets::ColdAccess;
 use super::load_sample::LoadSample;
-use super::overload::Decision;
+use super::overload::{Decision, TargetScore};
 use super::probing::{probe_targets, score_target, BestResponse, ProbeResponse, RoundResult};
 use super::registered_target::RegisteredTargetKey;
 use super::Gateway;
@@ -102,8 +103,19 @@
         if candidates.iter().all(|candidate| tried.contains(&candidate.key)) {
             return Err(error);
         }
-        let mut keys = select_probe_targets(candidates, &mut *gateway.rng.borrow_mut());
+        let cold = match stats.rounds == 0 {
+            true => select_cold_target(&candidates, &mut *gateway.rng.borrow_mut()),
+            false => None,
+        };
+        let is_deferred = candidates.iter().any(|candidate| candidate.cold == ColdAccess::Deferred);
+        let mut keys = match cold {
+            Some(key) => vec![key],
+            None => select_probe_targets(candidates, &mut *gateway.rng.borrow_mut()),
+        };
         if keys.is_empty() {
+            if is_deferred {
+                gateway.count_cold_deferral();
+            }
             // All targets are busy or were probed. One of them may have become free, so the next
             // round may probe them again.
             excluded.truncate(tried.len());
@@ -130,7 +142,10 @@
         } else if error == SearchError::NoTarget {
             error = SearchError::Silent;
         }
-        let score = best.as_ref().map(|best| best.score);
+        let score = best.as_ref().map(|best| match cold {
+            Some(_) => score_without_warmup(best.score),
+            None => best.score,
+        });
         match requirements.decision_input(score, Instant::now()).decide() {
             Decision::Refuse => return Err(error),
             Decision::Continue => excluded.extend(keys),
@@ -155,7 +170,18 @@
         excluded: excluded.contains(&key),
         ..Candidate::new(key, target, &settings.name, &settings.domain, now)
     });
-    candidates.collect()
+    let mut candidates: Vec<Candidate> = candidates.collect();
+    drop((registry, settings));
+    for candidate in &mut candidates {
+        candidate.cold = gateway.cold_access(candidate.key, now);
+    }
+    candidates
+}
+
+/// The score by which a cold target with a token gets a call that it is to have: its warm-up does
+/// not count, but its queue and its load do.
+fn score_without_warmup(score: TargetScore) -> TargetScore {
+    TargetScore { cost: score.cost / WARMUP_FACTOR, ..score }
 }
 
 /// Chooses the best target by cached samples, for a call that can send no probe at the end of its
@@ -169,7 +195,7 @@
     let now = Instant::now();
     let mut candidates = subset(candidates(gateway, &routed.service, tried));
     candidates.shuffle(&mut *gateway.rng.borrow_mut());
-    let usable = candidates.iter().filter(|candidate| !candidate.excluded && !candidate.suspect);
+    let usable = candidates.iter().filter(|candidate| candidate.is_usable() && !candidate.suspect);
     let scores = usable.filter_map(|candidate| {
         let sample = recent_sample(gateway, candidate.key, now);
         score_target(gateway, candidate.key, &sample).map(|score| (candidate.key, sample, score))
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -88,7 +88,11 @@
         }
         tried.push(choice.key);
         let idempotent = routed.route.idempotent;
-        match send(gateway, routed, &mut call, choice).await {
+        let Some(result) = send(gateway, routed, &mut call, choice).await else {
+            tried.pop();
+            continue;
+        };
+        match result {
             AttemptResult::Answered(response)
                 if !idempotent || !response.status.is_server_error() =>
             {
--- a/src/request/relay_attempt.rs
+++ b/src/request/relay_attempt.rs
@@ -13,41 +13,50 @@
 use crate::process::pool::PooledConnection;
 
 /// Sends a call to the chosen target and records the target's health, load and durations.
+///
+/// Returns `None` if the target is cold and other calls have taken the tokens for it; the call may
+/// still go there later.
 pub async fn send(
     gateway: &Rc<Gateway>,
     routed: &mut RoutedCall,
     call: &mut Call,
     choice: Choice,
-) -> AttemptResult {
+) -> Option<AttemptResult> {
     let Some(guard) = InflightGuard::acquire(gateway, choice.key) else {
-        return AttemptResult::NotSent(Code::NotRunNoTarget);
+        return Some(AttemptResult::NotSent(Code::NotRunNoTarget));
     };
     routed.log_choice(&choice, &guard.target_id);
     let duration_factor = choice.sample.load.map_or(1.0, |load| load.duration_factor());
     let time_left = routed.left(Instant::now());
     if time_left.is_zero() {
-        return AttemptResult::NotSent(Code::NotRunDeadline);
+        return Some(AttemptResult::NotSent(Code::NotRunDeadline));
     }
     let start = Instant::now();
     let Some(mut pooled) = reuse_or_reconnect(choice.pooled, time_left).await else {
         guard.record_failure();
         routed.log_attempt(&guard.target_id, "no connection", start);
-        return AttemptResult::NotRun(Code::NotRunConnect);
+        return Some(AttemptResult::NotRun(Code::NotRunConnect));
     };
     if !gateway.is_target_eligible(guard.key) {
         // The target has left or turned calls away while the call waited for a connection.
-        return AttemptResult::NotSent(Code::NotRunNoTarget);
+        return Some(AttemptResult::NotSent(Code::NotRunNoTarget));
     }
     if !routed.may_be_sent() {
-        return AttemptResult::NotSent(Code::NotReadyStopping);
+        return Some(AttemptResult::NotSent(Code::NotReadyStopping));
     }
     match routed.refresh_workspace() {
         // The key was taken away while the call waited for a target.
-        Err(code) => return AttemptResult::NotSent(code),
+        Err(code) => return Some(AttemptResult::NotSent(code)),
         // The next attempt is one of the other workspace.
-        Ok(true) => return AttemptResult::NotSent(Code::NotRunRefused),
+        Ok(true) => return Some(AttemptResult::NotSent(Code::NotRunRefused)),
         Ok(false) => {}
     }
+    // Nothing is awaited between here and the write.
+    let Some(permit) = gateway.take_cold_permit(guard.key, Instant::now()) else {
+        gateway.count_cold_deferral();
+        routed.log_attempt(&guard.target_id, "deferred", start);
+        return None;
+    };
     routed.set_workspace_header(call);
     let time_left = routed.left(Instant::now());
     call.set_header(gateway.header_names.expected_target, &guard.target_id);
@@ -65,10 +74,12 @@
             LoadSample { taken: start, load: Some(load.with_added_call()), ..choice.sample };
         record_sample(gateway, guard.key, sample);
     }
+    let asked_at = Instant::now();
     let exchange = pooled.connection().exchange_matching(call, belongs_to_call);
     let result = monoio::time::timeout(time_left, exchange).await;
     let maybe_sent = pooled.connection().maybe_sent();
     drop(pooled);
+    gateway.settle_cold_permit(guard.key, permit, maybe_sent);
     let sample = match &result {
         Ok(Ok(response)) => reported_load(gateway, response),
         Ok(Err(_)) | Err(_) => None,
@@ -77,6 +88,7 @@
         // A misdirected call was answered by another target at the same address.
         if response.status != StatusCode::MISDIRECTED_REQUEST {
             gateway.record_notice(guard.key, response);
+            gateway.record_warmup(guard.key, response, asked_at);
         }
     }
     let attempt = match result {
@@ -97,7 +109,7 @@
     if let Some(sample) = sample {
         record_sample(gateway, guard.key, sample);
     }
-    attempt
+    Some(attempt)
 }
 
 /// Returns the load that a target reported in its response, if any.
