--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -6,6 +6,8 @@
 pub mod availability;
 pub mod back_off;
 pub mod choice;
+pub mod cold_share;
+pub mod cold_targets;
 pub mod directory_health;
 pub mod evacuation_effect;
 pub mod evacuation_ramp;
@@ -33,6 +35,7 @@
 pub mod settings;
 pub mod sharing;
 pub mod typical_durations;
+pub mod warmup;
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
