Run idempotent calls of one connection side by side

Callers that send further calls before the first is answered were served one call after the other. `cornellink-entry` keeps its order, as its predicate forbids any overlap.

--- a/src/connection/bounded_stream.rs
+++ b/src/connection/bounded_stream.rs
@@ -12,6 +12,7 @@
 use super::chunked::ChunkedDecoder;
 use super::fault::Fault;
 use super::framing::Framing;
+use super::held_bytes::HeldBytes;
 use super::limits::Limits;
 use super::memory_budget::MemoryBudget;
 use crate::prelude::*;
@@ -33,7 +34,7 @@
     socket: TcpStream,
     buffer: BytesMut,
     budget: Option<Rc<MemoryBudget>>,
-    /// Bytes of the current message that are counted in `budget`.
+    /// Bytes of the current message and of the buffer that are counted in `budget`.
     counted: usize,
     /// Whether the kernel may have accepted a byte of the current outgoing message.
     maybe_sent: bool,
@@ -64,6 +65,21 @@
         }
     }
 
+    /// Hands over the counted bytes of the message that has been consumed; those of the buffer stay
+    /// counted here.
+    pub fn take_consumed_bytes(&mut self) -> HeldBytes {
+        let buffered = self.counted.min(self.buffer.len());
+        let consumed = std::mem::replace(&mut self.counted, buffered) - buffered;
+        HeldBytes::of_counted(self.budget.clone(), consumed)
+    }
+
+    /// The head at the beginning of the buffer, if it is complete, with its terminator searched for
+    /// from `start`.
+    pub fn buffered_head(&self, start: usize) -> Option<&[u8]> {
+        let length = find_head_end(&self.buffer, start)?;
+        Some(&self.buffer[..length])
+    }
+
     /// Number of bytes that have been read from the socket but not yet consumed.
     pub fn buffered_bytes(&self) -> usize {
         self.buffer.len()
@@ -198,7 +214,7 @@
             if self.buffer.len() > limits.head_bytes {
                 return Err(Fault::HeadTooLarge);
             }
-            searched = self.buffer.len().saturating_sub(HEAD_TERMINATOR.len() - 1);
+            searched = next_search_start(self.buffer.len());
             self.read_more().await?;
         }
     }
@@ -263,6 +279,11 @@
     }
 }
 
+/// Where the search for the end of a head continues after `searched` bytes without one.
+pub fn next_search_start(searched: usize) -> usize {
+    searched.saturating_sub(HEAD_TERMINATOR.len() - 1)
+}
+
 /// Length of the head at the beginning of `buffer`, with its terminator searched for from `start`.
 fn find_head_end(buffer: &[u8], start: usize) -> Option<usize> {
     let found =
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -2,13 +2,14 @@
 
 use monoio::net::TcpStream;
 
-use super::bounded_stream::BoundedStream;
+use super::bounded_stream::{next_search_start, BoundedStream};
 use super::decode::decode_call;
 use super::encode::encode_response;
 use super::fault::Fault;
 use super::framing::{request_framing, Framing};
 use super::limits::Limits;
 use super::memory_budget::MemoryBudget;
+use super::received_call::{Receipt, ReceivedCall, RejectedCall};
 use super::Result;
 use crate::prelude::*;
 
@@ -23,9 +24,28 @@
     stream: BoundedStream,
     /// Limits that may change while the connection is open.
     limits: Rc<Cell<Limits>>,
+    /// Whether another call may be read.
     reusable: bool,
-    /// Whether the current call is a HEAD request, whose response has no body.
-    is_head: bool,
+    /// How far the buffer has been searched for the next call.
+    search: BufferSearch,
+}
+
+/// Result of a search of the buffer for a whole call, which holds until a call is consumed.
+#[derive(Clone, Copy, Default)]
+struct BufferSearch {
+    /// Where the search for the end of the head continues.
+    start: usize,
+    /// Bytes that the buffer must hold before it can contain a whole call.
+    needed: usize,
+}
+
+/// What happened on a connection while its calls run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReceiveEvent {
+    /// Further bytes are in the buffer.
+    Received,
+    /// The caller has closed the connection.
+    Closed,
 }
 
 impl CallerConnection {
@@ -36,7 +56,12 @@
 
     /// Wraps an accepted socket; changes of `limits` take effect while the connection is open.
     pub fn with_limits(socket: TcpStream, limits: Rc<Cell<Limits>>) -> Self {
-        Self { stream: BoundedStream::new(socket), limits, reusable: true, is_head: false }
+        Self {
+            stream: BoundedStream::new(socket),
+            limits,
+            reusable: true,
+            search: BufferSearch::default(),
+        }
     }
 
     /// Counts the bytes of calls against `budget`; a call that exceeds it is rejected.
@@ -69,29 +94,37 @@
     }
 
     /// Reads the next call; `Fault::Closed` is the regular end of the connection.
-    pub async fn next_call(&mut self) -> std::result::Result<Call, Fault> {
-        self.wait_readable().await?;
-        self.is_head = false;
-        let limits = self.limits.get();
-        let head = self.stream.read_head(&limits).await?;
-        let framing = request_framing(&head)?;
-        let head = decode_call(head)?;
-        self.is_head = head.call.method == Method::HEAD;
-        self.reusable &= !head.close;
-        let mut call = head.call;
-        let body = read_call_body(&mut self.stream, framing, head.expects_continue, &limits);
-        call.body = match framing {
-            Framing::Empty => Bytes::new(),
-            _ => monoio::time::timeout(limits.body_timeout, body)
-                .await
-                .unwrap_or(Err(Fault::TooSlow))?,
-        };
-        Ok(call)
+    pub async fn next_call(&mut self) -> std::result::Result<ReceivedCall, RejectedCall> {
+        let mut receipt = Receipt::default();
+        self.search = BufferSearch::default();
+        let result = self.read_call(&mut receipt).await;
+        receipt.held = self.stream.take_consumed_bytes();
+        match result {
+            Ok(call) => Ok(ReceivedCall { call, receipt }),
+            Err(fault) => Err(RejectedCall { fault, receipt }),
+        }
     }
 
-    /// Whether the connection stays open for another call.
-    pub fn is_reusable(&self) -> bool {
-        self.reusable
+    /// Whether `next_call` returns the next call, or rejects it, without waiting: its head and its
+    /// whole body are in the buffer. A body with chunked transfer coding counts as incomplete, as
+    /// its end is only found by decoding it.
+    pub fn has_whole_call(&mut self) -> bool {
+        let buffered = self.stream.buffered_bytes();
+        if !self.reusable || buffered == 0 || buffered < self.search.needed {
+            return false;
+        }
+        let Some(head) = self.stream.buffered_head(self.search.start) else {
+            let start = next_search_start(buffered);
+            self.search = BufferSearch { start, needed: buffered + 1 };
+            return false;
+        };
+        let body_bytes = match request_framing(head) {
+            Ok(Framing::Length(length)) if length <= self.limits.get().body_bytes => length,
+            Ok(Framing::Empty | Framing::Length(_)) | Err(_) => return true,
+            Ok(Framing::Chunked | Framing::UntilClose) => usize::MAX,
+        };
+        self.search.needed = head.len().saturating_add(body_bytes);
+        buffered >= self.search.needed
     }
 
     /// Whether the next call, or the end of the stream, can be read without waiting.
@@ -99,31 +132,32 @@
         self.reusable && !self.stream.is_open_and_idle()
     }
 
+    /// Waits until the caller has sent further bytes or has closed the connection. Dropping the
+    /// future loses no data.
+    pub async fn receive(&mut self) -> ReceiveEvent {
+        if self.stream.buffered_bytes() > self.limits.get().head_bytes {
+            // The caller pipelines its next calls; reading more would buffer them without limit.
+            std::future::pending::<()>().await;
+        }
+        match self.stream.fill_buffer().await {
+            Err(_) | Ok(0) => ReceiveEvent::Closed,
+            Ok(_) => ReceiveEvent::Received,
+        }
+    }
+
     /// Resolves when the caller has closed the connection.
     pub async fn closed(&mut self) {
-        loop {
-            if self.stream.buffered_bytes() > self.limits.get().head_bytes {
-                // The caller pipelines its next calls; reading more would buffer them without
-                // limit.
-                std::future::pending::<()>().await;
-            }
-            match self.stream.fill_buffer().await {
-                Err(_) | Ok(0) => return,
-                Ok(_) => {}
-            }
-        }
+        while self.receive().await == ReceiveEvent::Received {}
     }
 
-    /// Writes the response to the current call.
-    pub async fn write_response(&mut self, response: Answer) -> Result<()> {
-        let (head, body) = encode_response(response, self.is_head, !self.reusable);
+    /// Writes the response to the call of `receipt`.
+    pub async fn write_response(&mut self, response: Answer, receipt: Receipt) -> Result<()> {
+        let (head, body) = encode_response(response, receipt.is_head, receipt.is_last);
         let write = async {
             self.stream.write_all(head).await?;
             self.stream.write_all(body).await
         };
-        let result = monoio::time::timeout(self.limits.get().write_timeout, write).await;
-        self.stream.release_memory();
-        match result {
+        match monoio::time::timeout(self.limits.get().write_timeout, write).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(error)) => Err(Error::Connection { reason: error.to_string() }),
             Err(_) => {
@@ -132,11 +166,6 @@
         }
     }
 
-    /// Makes the next response the last one on the connection.
-    pub fn close_after_response(&mut self) {
-        self.reusable = false;
-    }
-
     /// Shuts down the sending direction, then waits briefly for the caller to close its side.
     pub async fn close(mut self) {
         self.stream.shutdown_write().await;
@@ -147,6 +176,26 @@
         })
         .await;
     }
+
+    async fn read_call(&mut self, receipt: &mut Receipt) -> std::result::Result<Call, Fault> {
+        self.wait_readable().await?;
+        let limits = self.limits.get();
+        let head = self.stream.read_head(&limits).await?;
+        let framing = request_framing(&head)?;
+        let head = decode_call(head)?;
+        receipt.is_head = head.call.method == Method::HEAD;
+        receipt.is_last = head.close;
+        self.reusable &= !head.close;
+        let mut call = head.call;
+        let body = read_call_body(&mut self.stream, framing, head.expects_continue, &limits);
+        call.body = match framing {
+            Framing::Empty => Bytes::new(),
+            _ => monoio::time::timeout(limits.body_timeout, body)
+                .await
+                .unwrap_or(Err(Fault::TooSlow))?,
+        };
+        Ok(call)
+    }
 }
 
 /// Reads the body of a call, after an interim response if the caller waits for one.
--- a/src/connection/server.rs
+++ b/src/connection/server.rs
@@ -6,6 +6,7 @@
 
 use super::caller::CallerConnection;
 use super::limits::Limits;
+use super::received_call::ReceivedCall;
 use super::tasks::Tasks;
 use super::Result;
 use crate::prelude::*;
@@ -39,13 +40,13 @@
     F: Future<Output = Answer>,
 {
     let mut connection = CallerConnection::new(stream, Limits::for_responses());
-    while let Ok(call) = connection.next_call().await {
+    while let Ok(ReceivedCall { call, receipt }) = connection.next_call().await {
         let response = monoio::select! {
             response = handler(call) => response,
             // The client closed the connection, so the response is no longer needed.
             () = connection.closed() => return,
         };
-        if connection.write_response(response).await.is_err() {
+        if connection.write_response(response, receipt).await.is_err() {
             return;
         }
     }
--- a/src/process/caller_server.rs
+++ b/src/process/caller_server.rs
@@ -1,16 +1,19 @@
 //! Accepts connections from callers and serves each of them in a task of its own.
 
-use std::future::Future;
-use std::pin::Pin;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
 
 use monoio::net::{TcpListener, TcpStream};
 
-use super::shutdown::Shutdown;
-use crate::connection::caller::CallerConnection;
+use super::pipeline::Pipeline;
+use super::running_call::{Overlap, ReadyResponse, RunningCall};
+use super::shutdown::{InFlight, Shutdown};
+use crate::connection::caller::{CallerConnection, ReceiveEvent};
 use crate::connection::fault::Fault;
 use crate::connection::header_filter::filter_call_headers;
 use crate::connection::limits::Limits;
 use crate::connection::memory_budget::MemoryBudget;
+use crate::connection::received_call::{Receipt, ReceivedCall, RejectedCall};
 use crate::connection::tasks::Tasks;
 use crate::prelude::*;
 
@@ -29,15 +32,28 @@
 /// Handles one call and returns its response.
 pub type Handler = Rc<dyn Fn(Call) -> Pin<Box<dyn Future<Output = Answer>>>>;
 
+/// Whether a call may run beside others of its connection.
+pub type OverlapRule = Rc<dyn Fn(&Call) -> Overlap>;
+
+/// How the calls of all connections are handled.
+#[derive(Clone)]
+pub struct CallService {
+    pub shutdown: Rc<Shutdown>,
+    /// Bytes of the calls, and of responses that wait for those ahead of them.
+    pub memory: Rc<MemoryBudget>,
+    pub handler: Handler,
+    pub overlap: OverlapRule,
+    /// Counts a call that starts while another one of its connection is not answered yet.
+    pub count_pipelined: Rc<dyn Fn()>,
+}
+
 /// The listener for callers and the connections accepted from it.
 pub struct CallerServer {
     pub listener: TcpListener,
     /// Limits of each connection; a change also applies to open connections.
     pub limits: Rc<Cell<Limits>>,
-    pub memory: Rc<MemoryBudget>,
     pub max_connections: usize,
-    pub shutdown: Rc<Shutdown>,
-    pub handler: Handler,
+    pub service: CallService,
     /// Number of open connections, including those that are being refused.
     pub open_count: Rc<Cell<usize>>,
     pub tasks: Tasks,
@@ -48,14 +64,15 @@
     pub async fn serve(self) {
         monoio::select! {
             () = self.accept() => {}
-            () = self.shutdown.requested() => {}
+            () = self.service.shutdown.requested() => {}
         }
         log::info!("shutdown requested; reporting not ready");
-        let Some(period) = self.shutdown.grace_period() else { return };
+        let Some(period) = self.service.shutdown.grace_period() else { return };
         let delay = period.accept_end().saturating_duration_since(Instant::now());
         let _ = monoio::time::timeout(delay, self.accept()).await;
         self.drain_accept_queue(period.end()).await;
-        let Self { listener, shutdown, tasks, .. } = self;
+        let Self { listener, service, tasks, .. } = self;
+        let shutdown = service.shutdown;
         drop(listener);
         shutdown.close_idle();
         let remaining = period.end().saturating_duration_since(Instant::now());
@@ -100,14 +117,14 @@
         }
         let guard = OpenConnection::new(self.open_count.clone());
         let connection = CallerConnection::with_limits(stream, self.limits.clone());
-        let connection = connection.with_memory_budget(self.memory.clone());
-        let (shutdown, handler) = (self.shutdown.clone(), self.handler.clone());
+        let connection = connection.with_memory_budget(self.service.memory.clone());
+        let service = self.service.clone();
         self.tasks.spawn(async move {
             let _guard = guard;
             if open_before >= limit {
-                refuse(connection, Code::NotReadyConnections).await;
+                refuse(connection, Code::NotReadyConnections, Receipt::default()).await;
             } else {
-                serve_caller(&shutdown, &handler, connection).await;
+                serve_caller(&service, connection).await;
             }
         });
     }
@@ -131,38 +148,130 @@
     }
 }
 
-async fn serve_caller(shutdown: &Shutdown, handler: &Handler, mut connection: CallerConnection) {
+/// How the service of a connection's calls ended.
+enum ServiceEnd {
+    /// All calls are answered, and the connection may carry further ones.
+    Answered,
+    /// The last response was written.
+    Closing,
+    /// The calls ahead are answered, and this one is malformed.
+    Rejected(RejectedCall),
+    /// The caller is gone.
+    Disconnected,
+}
+
+/// A call that was read while calls ahead of it run, and must wait until they are answered.
+type WaitingCall = Result<ReceivedCall, RejectedCall>;
+
+async fn serve_caller(service: &CallService, mut connection: CallerConnection) {
     let accepted = Instant::now();
     let mut idle_until = accepted + FIRST_CALL_GRACE;
-    while wait_for_call(shutdown, &mut connection, idle_until).await {
+    while wait_for_call(&service.shutdown, &mut connection, idle_until).await {
         idle_until = accepted;
-        let _inflight = shutdown.track_call();
-        let call = match read_call(&mut connection).await {
-            Ok(call) => call,
-            Err(fault) => match fault_code(fault) {
-                Some(code) => return refuse(connection, code).await,
-                None => return,
-            },
-        };
-        let response = monoio::select! {
+        match serve_calls(service, &mut connection).await {
+            ServiceEnd::Answered => {}
+            ServiceEnd::Closing => return connection.close().await,
+            ServiceEnd::Rejected(rejected) => return reject(service, connection, rejected).await,
+            // Dropping the handlers has closed their connections to targets, which cancels the calls
+            // there.
+            ServiceEnd::Disconnected => return,
+        }
+    }
+    // The idle connection is closed without a further read: a call that arrives just now would be
+    // read and never answered, whereas the caller may safely retry a call that was not read.
+}
+
+/// Reads a call and serves it, with those that the caller sends before it is answered.
+async fn serve_calls(service: &CallService, connection: &mut CallerConnection) -> ServiceEnd {
+    let mut pipeline = Pipeline::new(service.memory.clone());
+    let inflight = service.shutdown.track_call();
+    match read_call(connection).await {
+        Ok(received) => start(service, &mut pipeline, received, inflight),
+        Err(rejected) => return ServiceEnd::Rejected(rejected),
+    }
+    let mut waiting: Option<WaitingCall> = None;
+    loop {
+        if waiting.is_none() {
+            waiting = start_buffered_calls(service, connection, &mut pipeline).await;
+        }
+        let ready = monoio::select! {
             biased;
-            response = handler(call) => response,
-            // The caller closed its connection. Dropping the handler closes the connection to the
-            // target, which cancels the call there.
-            () = connection.closed() => return,
+            ready = pipeline.next_response() => ready,
+            event = connection.receive() => match event {
+                ReceiveEvent::Received => continue,
+                ReceiveEvent::Closed => return ServiceEnd::Disconnected,
+            },
         };
-        if shutdown.is_requested() {
-            connection.close_after_response();
+        match write_response(service, connection, &mut pipeline, ready).await {
+            ServiceEnd::Answered if pipeline.is_empty() => {}
+            ServiceEnd::Answered => continue,
+            end => return end,
         }
-        if connection.write_response(response).await.is_err() {
-            return;
+        match waiting.take() {
+            Some(Ok(received)) => {
+                start(service, &mut pipeline, received, service.shutdown.track_call());
+            }
+            Some(Err(rejected)) => return ServiceEnd::Rejected(rejected),
+            None => return ServiceEnd::Answered,
         }
-        if !connection.is_reusable() {
-            return connection.close().await;
+    }
+}
+
+/// Writes a response while the calls behind it continue to run.
+async fn write_response(
+    service: &CallService,
+    connection: &mut CallerConnection,
+    pipeline: &mut Pipeline<CallState<'_>>,
+    ready: ReadyResponse<CallState<'_>>,
+) -> ServiceEnd {
+    let (mut receipt, _inflight) = ready.state;
+    receipt.is_last |= service.shutdown.is_requested() && pipeline.is_empty();
+    let is_last = receipt.is_last;
+    let mut write = pin!(connection.write_response(ready.response, receipt));
+    let written = poll_fn(|context| {
+        pipeline.poll_waiting(context);
+        write.as_mut().poll(context)
+    });
+    match written.await {
+        Ok(()) if is_last => ServiceEnd::Closing,
+        Ok(()) => ServiceEnd::Answered,
+        Err(_) => ServiceEnd::Disconnected,
+    }
+}
+
+/// Starts the calls that are in the buffer as a whole and may run beside those ahead of them;
+/// returns the first one that may not.
+async fn start_buffered_calls<'a>(
+    service: &'a CallService,
+    connection: &mut CallerConnection,
+    pipeline: &mut Pipeline<CallState<'a>>,
+) -> Option<WaitingCall> {
+    while pipeline.has_room() && !service.shutdown.is_requested() && connection.has_whole_call() {
+        let received = match read_call(connection).await {
+            Ok(received) => received,
+            Err(rejected) => return Some(Err(rejected)),
+        };
+        if !pipeline.may_start((service.overlap)(&received.call)) {
+            return Some(Ok(received));
         }
+        (service.count_pipelined)();
+        start(service, pipeline, received, service.shutdown.track_call());
     }
-    // The idle connection is closed without a further read: a call that arrives just now would be
-    // read and never answered, whereas the caller may safely retry a call that was not read.
+    None
+}
+
+/// What is kept for the response to a call.
+type CallState<'a> = (Receipt, InFlight<'a>);
+
+fn start<'a>(
+    service: &CallService,
+    pipeline: &mut Pipeline<CallState<'a>>,
+    received: ReceivedCall,
+    inflight: InFlight<'a>,
+) {
+    let ReceivedCall { call, receipt } = received;
+    let overlap = (service.overlap)(&call);
+    pipeline.start(RunningCall::new((service.handler)(call), overlap, (receipt, inflight)));
 }
 
 /// Waits for the next call; returns `false` if the connection must be closed instead. During a
@@ -188,10 +297,12 @@
     }
 }
 
-async fn read_call(connection: &mut CallerConnection) -> Result<Call, Fault> {
-    let mut call = connection.next_call().await?;
-    filter_call_headers(&mut call.headers)?;
-    Ok(call)
+async fn read_call(connection: &mut CallerConnection) -> Result<ReceivedCall, RejectedCall> {
+    let mut received = connection.next_call().await?;
+    match filter_call_headers(&mut received.call.headers) {
+        Ok(()) => Ok(received),
+        Err(fault) => Err(RejectedCall { fault, receipt: received.receipt }),
+    }
 }
 
 fn fault_code(fault: Fault) -> Option<Code> {
@@ -206,9 +317,18 @@
     }
 }
 
-async fn refuse(mut connection: CallerConnection, code: Code) {
-    connection.close_after_response();
-    if connection.write_response(Answer::own(code)).await.is_ok() {
+/// Responds to a malformed call, unless the connection has ended.
+async fn reject(service: &CallService, connection: CallerConnection, rejected: RejectedCall) {
+    let _inflight = service.shutdown.track_call();
+    let RejectedCall { fault, receipt } = rejected;
+    if let Some(code) = fault_code(fault) {
+        refuse(connection, code, receipt).await;
+    }
+}
+
+async fn refuse(mut connection: CallerConnection, code: Code, mut receipt: Receipt) {
+    receipt.is_last = true;
+    if connection.write_response(Answer::own(code), receipt).await.is_ok() {
         connection.close().await;
     }
 }
--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -2,7 +2,7 @@
 
 use monoio::net::TcpListener;
 
-use super::caller_server::CallerServer;
+use super::caller_server::{CallService, CallerServer};
 use super::claims::limits::ClaimLimits;
 use super::claims::{self, Claims};
 use super::config_stream;
@@ -12,6 +12,7 @@
 use super::permit;
 use super::probes::{self, Probes};
 use super::recorder::Recorder;
+use super::running_call::Overlap;
 use super::scheduler::Scheduler;
 use super::settings::Settings;
 use super::shutdown::{Shutdown, ShutdownSettings, ShutdownSignals};
@@ -162,16 +163,22 @@
 fn caller_server(entry: &Rc<Entry>, listener: TcpListener) -> CallerServer {
     let settings = &entry.settings.callers;
     let state = entry.clone();
-    CallerServer {
-        listener,
-        limits: Rc::new(Cell::new(Limits::from(settings))),
-        memory: Rc::new(MemoryBudget::new(settings.memory_limit)),
-        max_connections: settings.max_connections,
+    let service = CallService {
         shutdown: entry.shutdown.clone(),
+        memory: Rc::new(MemoryBudget::new(settings.memory_limit)),
         handler: Rc::new(move |call| {
             let entry = state.clone();
             Box::pin(async move { dispatch::dispatch(&entry, call).await })
         }),
+        // A call's class is only known once it is dispatched.
+        overlap: Rc::new(|_| Overlap::Forbidden),
+        count_pipelined: Rc::new(|| {}),
+    };
+    CallerServer {
+        listener,
+        limits: Rc::new(Cell::new(Limits::from(settings))),
+        max_connections: settings.max_connections,
+        service,
         open_count: Rc::default(),
         tasks: Tasks::default(),
     }
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -13,7 +13,8 @@
 use crate::connection::tasks::Tasks;
 use crate::edge::directory::{Directory, EntryRecord};
 use crate::prelude::*;
-use crate::process::caller_server::CallerServer;
+use crate::process::caller_server::{CallService, CallerServer};
+use crate::process::running_call::Overlap;
 use crate::process::shutdown::{ReloadSignals, ShutdownSignals};
 use crate::process::Result;
 use crate::request::relay;
@@ -22,6 +23,9 @@
 /// callers.
 const RESERVED_DESCRIPTORS: u64 = 800;
 
+/// Counter of calls that started while another one of their connection was not answered yet.
+const PIPELINED_COUNTER: &str = "cornellink_calls_pipelined_total";
+
 /// Serves calls until a termination signal arrives. The settings file at `path` is watched for
 /// changes.
 pub async fn serve(
@@ -66,7 +70,7 @@
         let settings = state.settings.borrow();
         state.shutdown.request(settings.shutdown_delay(), settings.shutdown_limit());
     });
-    new_callers(&gateway, listener).serve().await;
+    caller_server(&gateway, listener).serve().await;
     background.stop();
     background.join().await;
     gateway.probe_tasks.stop();
@@ -87,17 +91,33 @@
     })
 }
 
-fn new_callers(gateway: &Rc<Gateway>, listener: TcpListener) -> CallerServer {
+/// Returns the server for the callers of a gateway.
+pub fn caller_server(gateway: &Rc<Gateway>, listener: TcpListener) -> CallerServer {
     let settings = gateway.settings.borrow();
-    let state = gateway.clone();
+    let (state, routes, metrics) = (gateway.clone(), gateway.clone(), gateway.clone());
+    let service = CallService {
+        shutdown: gateway.shutdown.clone(),
+        memory: Rc::new(MemoryBudget::new(settings.call_memory_bytes())),
+        handler: Rc::new(move |call| Box::pin(relay::relay(state.clone(), call))),
+        overlap: Rc::new(move |call| call_overlap(&routes, call)),
+        count_pipelined: Rc::new(move || metrics.metrics.count(PIPELINED_COUNTER)),
+    };
     CallerServer {
         listener,
         limits: gateway.limits.clone(),
-        memory: Rc::new(MemoryBudget::new(settings.call_memory_bytes())),
         max_connections: settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize,
-        shutdown: gateway.shutdown.clone(),
-        handler: Rc::new(move |call| Box::pin(relay::relay(state.clone(), call))),
+        service,
         open_count: Rc::default(),
         tasks: Tasks::default(),
     }
 }
+
+/// Calls of an idempotent route may run beside others of their connection.
+fn call_overlap(gateway: &Gateway, call: &Call) -> Overlap {
+    let host = call.header("host").unwrap_or_default();
+    let table = gateway.table();
+    match table.as_ref().and_then(|table| table.find(host, call.uri.path())) {
+        Some(route) if route.idempotent => Overlap::Allowed,
+        Some(_) | None => Overlap::Forbidden,
+    }
+}
