Return counted bytes when a connection's buffer is dropped

A rejected call's bytes stayed counted until its connection was gone, found by tests/caller.rs (`body_above_the_memory_limit_of_all_callers_is_refused`). They are now returned when the buffer is dropped.

--- a/src/connection/bounded_stream.rs
+++ b/src/connection/bounded_stream.rs
@@ -135,9 +135,11 @@
         result
     }
 
-    /// Drops the bytes that have been read but not consumed.
+    /// Drops the bytes that have been read but not consumed, and returns all counted bytes to the
+    /// memory budget.
     pub fn clear_buffer(&mut self) {
         self.buffer = BytesMut::new();
+        self.release_memory();
     }
 
     /// Whether the kernel may have accepted a byte since `reset_maybe_sent`.
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -97,11 +97,17 @@
     pub async fn next_call(&mut self) -> std::result::Result<ReceivedCall, RejectedCall> {
         let mut receipt = Receipt::default();
         self.search = BufferSearch::default();
-        let result = self.read_call(&mut receipt).await;
-        receipt.held = self.stream.take_consumed_bytes();
-        match result {
-            Ok(call) => Ok(ReceivedCall { call, receipt }),
-            Err(fault) => Err(RejectedCall { fault, receipt }),
+        match self.read_call(&mut receipt).await {
+            Ok(call) => {
+                receipt.held = self.stream.take_consumed_bytes();
+                Ok(ReceivedCall { call, receipt })
+            }
+            Err(fault) => {
+                // Where the next call would begin is unknown.
+                self.reusable = false;
+                self.stream.clear_buffer();
+                Err(RejectedCall { fault, receipt })
+            }
         }
     }
 
@@ -169,6 +175,7 @@
     /// Shuts down the sending direction, then waits briefly for the caller to close its side.
     pub async fn close(mut self) {
         self.stream.shutdown_write().await;
+        self.stream.clear_buffer();
         let _ = monoio::time::timeout(LINGER_TIMEOUT, async {
             while matches!(self.stream.fill_buffer().await, Ok(1..)) {
                 self.stream.clear_buffer();
