--- a/src/process/gateway/cold_share.rs
+++ b/src/process/gateway/cold_share.rs
@@ -4,13 +4,18 @@
 
 use crate::prelude::*;
 
-/// Time after which an unused token expires.
-pub const TOKEN_LIFETIME: Duration = Duration::from_millis(500);
+/// Bounds of the time after which an unused token expires. The lower one exceeds the delay between
+/// the rounds of a call that waits for a token.
+pub const MAX_TOKEN_LIFETIME: Duration = Duration::from_millis(500);
+const MIN_TOKEN_LIFETIME: Duration = Duration::from_millis(50);
+/// Lifetime of a token within these bounds, as a share of the time between two tokens. Tokens that
+/// are saved up lower the rate that keeps the bound.
+const LIFETIME_RATIO: f64 = 0.25;
 /// Period in which the bound on the calls to a cold target holds.
 const BOUND_WINDOW: Duration = Duration::from_secs(1);
 /// Standard deviations between the mean number of calls in a window and the bound. Entries do not
 /// coordinate their tokens, so the number varies.
-const MARGIN_DEVIATIONS: f64 = 5.5;
+const MARGIN_DEVIATIONS: f64 = 5.0;
 /// Time after which the limit of a share is computed again.
 const LIMIT_INTERVAL: Duration = Duration::from_secs(1);
 /// Rates that are examined between zero and the full one.
@@ -36,7 +41,7 @@
     /// Tokens per second of each entry: the highest rate at which the number of calls in a window
     /// stays below the bound by `MARGIN_DEVIATIONS`.
     pub fn entry_rate(&self) -> f64 {
-        let full_rate = self.rate / self.expected_entries();
+        let full_rate = self.rate / (1.0 + self.expected_others());
         let rates = (1..=RATE_STEPS).rev().map(|step| {
             let ratio = f64::from(step) / f64::from(RATE_STEPS);
             full_rate * ratio
@@ -45,23 +50,24 @@
         safe_rates.next().unwrap_or(0.0)
     }
 
-    /// Expected number of entries that use the target.
-    fn expected_entries(&self) -> f64 {
-        (f64::from(self.entries) * self.subset_ratio).max(1.0)
+    /// Expected number of entries that use the target, besides the one that asks.
+    fn expected_others(&self) -> f64 {
+        f64::from(self.entries.saturating_sub(1)) * self.subset_ratio
     }
 
     /// Number of calls in a window that is exceeded very rarely if each entry gets `rate` tokens per
     /// second.
     ///
-    /// The tokens of the window and those that accrued within `TOKEN_LIFETIME` before it may be
-    /// used. Both the number of entries that use the target and the number of tokens of each vary.
+    /// The tokens of the window and those that were unused at its start may be used. Both the number of entries that use the target and the number of tokens of each vary.
     fn high_count(&self, rate: f64) -> f64 {
-        let entries = self.expected_entries();
-        let tokens = rate * (BOUND_WINDOW + TOKEN_LIFETIME).as_secs_f64();
-        let token_variance = tokens.fract() * (1.0 - tokens.fract());
-        let subset_variance = (1.0 - self.subset_ratio) * tokens * tokens;
-        let deviation = (entries * (token_variance + subset_variance)).sqrt();
-        entries * tokens + MARGIN_DEVIATIONS * deviation
+        let (others, entries) = (self.expected_others(), 1.0 + self.expected_others());
+        let tokens = rate * (BOUND_WINDOW + lifetime(period(rate))).as_secs_f64();
+        let token_variance = entries * tokens.fract() * (1.0 - tokens.fract());
+        let subset_variance = others * (1.0 - self.subset_ratio) * tokens * tokens;
+        let deviation = (token_variance + subset_variance).sqrt();
+        // A share that begins anew within the window may give one token more.
+        let highest = f64::from(self.entries) * (tokens.ceil() + 1.0);
+        (entries * tokens + MARGIN_DEVIATIONS * deviation).min(highest)
     }
 }
 
@@ -141,8 +147,9 @@
 
     /// Adds the tokens that have accrued and drops the expired ones.
     fn accrue(&mut self, now: Instant) {
+        let lifetime = lifetime(self.period);
         if let Some(period) = self.period {
-            let late = now.saturating_duration_since(self.next).saturating_sub(TOKEN_LIFETIME);
+            let late = now.saturating_duration_since(self.next).saturating_sub(lifetime);
             // Tokens that have already expired are skipped.
             let skipped = (late.as_secs_f64() / period.as_secs_f64()).floor();
             self.next += period.mul_f64(skipped);
@@ -151,12 +158,17 @@
                 self.next += period;
             }
         }
-        let is_valid =
-            |token: &ColdToken| now.saturating_duration_since(token.accrued) < TOKEN_LIFETIME;
+        let is_valid = |token: &ColdToken| now.saturating_duration_since(token.accrued) < lifetime;
         self.tokens.retain(is_valid);
     }
 }
 
+/// Time after which a token expires.
+fn lifetime(period: Option<Duration>) -> Duration {
+    let lifetime = period.map_or(MAX_TOKEN_LIFETIME, |period| period.mul_f64(LIFETIME_RATIO));
+    lifetime.clamp(MIN_TOKEN_LIFETIME, MAX_TOKEN_LIFETIME)
+}
+
 /// Time between two tokens at `rate` tokens per second; `None` if it is too long to matter.
 fn period(rate: f64) -> Option<Duration> {
     let is_valid = |period: &Duration| !period.is_zero() && *period <= MAX_PERIOD;
