--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -63,7 +63,7 @@
         apply_registration(&mut registry, number as u64, &target);
     }
     let now = Instant::now();
-    let mut users: HashMap<RegisteredTargetKey, u32> =
+    let mut users: BTreeMap<RegisteredTargetKey, u32> =
         registry.service("s").map(|(key, _)| (key, 0)).collect();
     for entry in 0..entries {
         let (name, domain) = (format!("entry-{fleet}-{entry}"), DOMAINS[entry % DOMAINS.len()]);
