--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -11,12 +11,16 @@
 use cornellink::process::gateway::evacuation_record::EvacuationRecord;
 use cornellink::process::gateway::evacuations::{Evacuations, MAX_DOMAINS};
 use cornellink::process::gateway::routes_read::RoutesRead;
+use cornellink::process::gateway::search::{search, SearchStats};
 use cornellink::process::gateway::sharing::freshness::CopyState;
 use cornellink::process::gateway::sharing::publish;
 use cornellink::process::gateway::sharing::update::{Update, FORMAT};
 use cornellink::process::gateway::{follower, Gateway};
 use cornellink::process::runtime::block_on;
+use cornellink::request::attempt::AttemptResult;
 use cornellink::request::relay::relay;
+use cornellink::request::relay_attempt::send;
+use cornellink::request::routed_call::RoutedCall;
 use cornellink::version::registration::Registration;
 use fixture::gateway::{get, idempotent_route, settings, until, TestGateway, HEADER_NAMES};
 use fixture::registry::{table, target};
@@ -450,6 +454,28 @@
     .unwrap();
 }
 
+/// Guards against a call whose target was chosen before the domain was closed, and that is written to
+/// it on the probe's connection.
+#[test]
+fn chosen_target_is_refused_right_before_the_write() {
+    let near = ScriptedTarget::start("near", Script::Respond, "0,0,4");
+    block_on(async {
+        let deployment = Deployment::new(&[("near", "a", &near)]);
+        let gateway = deployment.start_gateway(SHORT_LIMIT).await.gateway;
+        let mut call = get("/a/x", "chosen", 1000);
+        let mut routed = RoutedCall::find(&gateway, &mut call, Instant::now()).unwrap();
+        let found = search(&gateway, &routed, &[], &mut SearchStats::default()).await;
+        let record = active("a", 9);
+        gateway.evacuations.borrow_mut().apply(&record, CopyState::Stale, Instant::now());
+
+        let result = send(&gateway, &mut routed, &mut call, found.ok().unwrap()).await;
+
+        assert!(matches!(result, AttemptResult::NotSent(Code::NotRunNoTarget)));
+        assert_eq!((routed.sent_attempts, near.received_calls().len()), (0, 0));
+    })
+    .unwrap();
+}
+
 /// Guards against calls that wait for their deadline when all targets are in evacuated domains, and
 /// against calls that are refused during the ramp because the draw leaves no target.
 #[test]
