Share the quotas of workspaces among all entries

The configuration names limits of workspaces that no entry enforces yet. Each entry now refills its part of a token bucket, hands the refill to the owner of the workspace's shard and asks it for tokens.

--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod overload;
 pub mod probe_budget;
 pub mod probing;
+pub mod quota;
 pub mod read_timing;
 pub mod registered_target;
 pub mod registry;
@@ -34,6 +35,7 @@
 use self::directory_health::DirectoryHealth;
 use self::header_names::HeaderNames;
 use self::probe_budget::{ProbeBudget, RateLimit};
+use self::quota::Quotas;
 use self::registered_target::RegisteredTargetKey;
 use self::registry::TargetRegistry;
 use self::retry_budget::RetryBudget;
@@ -71,6 +73,8 @@
     /// Running probes, which may outlive the calls that sent them.
     pub probe_tasks: Tasks,
     pub sharing: Sharing,
+    /// Tokens of workspaces with a limit.
+    pub quotas: Quotas,
     /// The change that holds the routes in force, in the format of the directory.
     pub route_change: RefCell<Option<Change>>,
     /// Offsets at which the next read of each feed starts; `None` if it must read a snapshot.
@@ -90,6 +94,7 @@
         let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
         let retries = RetryBudget::new(ratio, slack, settings.retry_window());
         let directory_health = DirectoryHealth::new(settings.renewal_interval());
+        let mut rng = SmallRng::from_os_rng();
         Self {
             settings: RefCell::new(settings),
             header_names,
@@ -100,7 +105,8 @@
             durations: RefCell::default(),
             shutdown: Rc::default(),
             limits: Rc::default(),
-            rng: RefCell::new(SmallRng::from_os_rng()),
+            quotas: Quotas::new(rng.random()),
+            rng: RefCell::new(rng),
             directory_health: RefCell::new(directory_health),
             probe_tasks: Tasks::default(),
             sharing: Sharing::default(),
@@ -135,6 +141,7 @@
         });
         self.metrics.set_gauge("cornellink_revision", table.version as f64);
         self.durations.borrow_mut().retain(|name| table.has_route(name));
+        self.quotas.set_table(&table, self.settings.borrow().quota_terms());
         self.table.replace(Some(table));
         true
     }
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -7,7 +7,7 @@
 use super::settings::GatewaySettings;
 use super::sharing::loads::{self, LoadSocket};
 use super::sharing::{publish, subscribe};
-use super::{admin, follower, Gateway};
+use super::{admin, follower, quota, Gateway};
 use crate::connection::memory_budget::MemoryBudget;
 use crate::connection::server;
 use crate::connection::tasks::Tasks;
@@ -47,16 +47,21 @@
         let state = gateway.clone();
         background.spawn(server::serve(listener, move |call| admin::handle(state.clone(), call)));
     }
+    let mut quota_socket = None;
     if let Some(record) = entry_record(&gateway) {
         let listener = server::bind(record.address)?;
         background.spawn(publish::serve(gateway.clone(), listener));
         match LoadSocket::bind(record.address) {
-            Ok(socket) => background.spawn(loads::share(gateway.clone(), socket)),
+            Ok(socket) => {
+                quota_socket = socket.writer().inspect_err(log_unshared).ok();
+                background.spawn(loads::share(gateway.clone(), socket));
+            }
             // Without the socket, this entry has only the load samples of its own probes.
-            Err(error) => log::error!(error:% = error; "load samples are not shared"),
+            Err(error) => log_unshared(&error),
         }
         background.spawn(subscribe::run(gateway.clone(), directory.clone(), record));
     }
+    background.spawn(quota::task::run(gateway.clone(), quota_socket));
     background.spawn(follower::follow(gateway.clone(), directory));
     background.spawn(reload::watch(gateway.clone(), path, hangups));
     let state = gateway.clone();
@@ -75,6 +80,10 @@
     Ok(())
 }
 
+fn log_unshared(error: &Error) {
+    log::error!(error:% = error; "load samples are not shared");
+}
+
 /// Returns the record under which this entry is listed in the directory, if it shares its reads.
 fn entry_record(gateway: &Gateway) -> Option<EntryRecord> {
     let settings = gateway.settings.borrow();
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 
 use super::super::Result;
+use super::quota::limit::Terms;
 use crate::prelude::*;
 use crate::version::check;
 use crate::version::check::checked_value::CheckedValue;
@@ -143,6 +144,12 @@
         Duration::from_millis(self.quota_window_ms)
     }
 
+    /// What is promised of the quotas of workspaces.
+    pub fn quota_terms(&self) -> Terms {
+        let (overage, slack) = (self.quota_overage, self.quota_slack);
+        Terms { window: self.quota_window(), overage, slack }
+    }
+
     /// Time from the request to evacuate a failure domain until its targets get no calls.
     pub fn evacuation_limit(&self) -> Duration {
         Duration::from_millis(self.evacuation_ms)
--- a/src/process/gateway/sharing/loads.rs
+++ b/src/process/gateway/sharing/loads.rs
@@ -15,6 +15,7 @@
 use crate::prelude::*;
 use crate::process::gateway::load_sample::{Load, LoadSample};
 use crate::process::gateway::probing;
+use crate::process::gateway::quota::wire::{REPLY_FORMAT, REQUEST_FORMAT};
 use crate::process::gateway::Gateway;
 use crate::process::Result;
 
@@ -162,7 +163,7 @@
     Ok(samples.collect())
 }
 
-/// The socket on which load samples are sent and received.
+/// The socket on which load samples and messages about quotas are sent and received.
 pub struct LoadSocket {
     reader: UdpSocket,
     writer: std::net::UdpSocket,
@@ -176,6 +177,12 @@
         let reader = writer.try_clone().and_then(UdpSocket::from_std).map_err(failed)?;
         Ok(Self { reader, writer })
     }
+
+    /// Another handle of the socket, to send with.
+    pub fn writer(&self) -> Result<std::net::UdpSocket> {
+        let failed = |source| Error::Connection { reason: format!("socket not cloned: {source}") };
+        self.writer.try_clone().map_err(failed)
+    }
 }
 
 /// Sends this entry's samples and receives those of others until the task is dropped.
@@ -218,11 +225,16 @@
     loop {
         let (result, returned_buffer) = socket.recv_from(buffer).await;
         buffer = returned_buffer;
-        let Ok((length, _)) = result else {
+        let Ok((length, sender)) = result else {
             monoio::time::sleep(RECEIVE_BACKOFF).await;
             continue;
         };
-        match decode(&buffer[..length], Instant::now()) {
+        let message = &buffer[..length];
+        if matches!(message.first(), Some(&REQUEST_FORMAT | &REPLY_FORMAT)) {
+            gateway.quotas.receive(gateway, message, sender);
+            continue;
+        }
+        match decode(message, Instant::now()) {
             Ok(samples) => {
                 samples.iter().for_each(|sample| probing::record_peer_sample(gateway, sample))
             }
--- a/src/process/gateway/sharing/membership.rs
+++ b/src/process/gateway/sharing/membership.rs
@@ -93,6 +93,7 @@
     let others = records.iter().filter(|record| record.name != own.name);
     gateway.sharing.listed_entries.set(Some(1 + others.count() as u32));
     gateway.sharing.loads.set_peers(own, &records);
+    gateway.quotas.set_list(own, &records);
     order.borrow_mut().set_list(own, records);
     gateway.sharing.list_state.set(ListState::Loaded);
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -6,6 +6,8 @@
 
 use crate::connection::quic::traffic::Traffic;
 use crate::prelude::*;
+use crate::process::gateway::quota::node::OwnerFigures;
+use crate::process::gateway::quota::stats::Stats;
 
 /// Upper bounds of the buckets of the latency histograms, in seconds.
 const LATENCY_BUCKETS: &[f64] = &[
@@ -16,6 +18,8 @@
 /// Maximum number of pairs of workspace and class with their own series. A pair has three
 /// histograms of 22 series each, and a document may name 10,000 workspaces.
 const MAX_LABEL_PAIRS: usize = 200;
+/// Most workspaces whose calls have their own series, one for each code.
+const MAX_WORKSPACES: usize = 200;
 /// Samples of histograms after which they are added to their buckets. Until then, or until somebody
 /// reads the metrics, each sample is stored.
 const MAX_STORED_SAMPLES: u32 = 1024;
@@ -28,6 +32,8 @@
     handle: PrometheusHandle,
     /// Classes with their own series, by workspace.
     label_pairs: RefCell<HashMap<String, HashSet<String>>>,
+    /// Workspaces whose calls have their own series.
+    workspaces: RefCell<HashSet<String>>,
     /// Samples of histograms since they were last added to their buckets.
     stored_samples: Cell<u32>,
 }
@@ -38,7 +44,13 @@
         let builder = builder.set_buckets(LATENCY_BUCKETS).expect("the bounds are not empty");
         let recorder = builder.build_recorder();
         let handle = recorder.handle();
-        Self { recorder, handle, label_pairs: RefCell::default(), stored_samples: Cell::default() }
+        Self {
+            recorder,
+            handle,
+            label_pairs: RefCell::default(),
+            workspaces: RefCell::default(),
+            stored_samples: Cell::default(),
+        }
     }
 }
 
@@ -165,6 +177,52 @@
         self.limit_stored_samples();
     }
 
+    /// Counts quota decisions.
+    pub fn count_quota(&self, stats: Stats) {
+        if stats == Stats::default() {
+            return;
+        }
+        let Stats { granted, refused, unanswered, dropped } = stats;
+        metrics::with_local_recorder(&self.recorder, || {
+            let outcomes = [("granted", granted), ("refused", refused), ("unanswered", unanswered)];
+            for (outcome, count) in outcomes.into_iter().filter(|(_, count)| *count > 0) {
+                metrics::counter!("cornellink_quota_requests_total", "outcome" => outcome)
+                    .increment(count);
+            }
+            if dropped > 0 {
+                metrics::counter!("cornellink_quota_messages_dropped_total").increment(dropped);
+            }
+        });
+    }
+
+    /// Sets the gauges of the quota pools that this entry owns.
+    pub fn set_quota_owner(&self, figures: OwnerFigures) {
+        self.set_gauge("cornellink_quota_pools", figures.pools as f64);
+        self.set_gauge("cornellink_quota_senders", figures.senders as f64);
+        self.set_gauge("cornellink_quota_received_seconds", figures.received);
+    }
+
+    /// Counts an ended call of a workspace.
+    pub fn count_workspace_call(&self, workspace: &str, code: Code) {
+        let workspace = match self.has_workspace_series(workspace) {
+            true => workspace,
+            false => OTHER_LABEL,
+        };
+        let labels = [("workspace", workspace.to_owned()), ("code", code.number().to_string())];
+        metrics::with_local_recorder(&self.recorder, || {
+            metrics::counter!("cornellink_workspace_calls_total", &labels).increment(1);
+        });
+    }
+
+    /// Whether a workspace has its own series; the first `MAX_WORKSPACES` do.
+    fn has_workspace_series(&self, workspace: &str) -> bool {
+        let mut workspaces = self.workspaces.borrow_mut();
+        if workspaces.contains(workspace) {
+            return true;
+        }
+        workspaces.len() < MAX_WORKSPACES && workspaces.insert(workspace.to_owned())
+    }
+
     /// Sets a gauge without labels.
     pub fn set_gauge(&self, name: &'static str, value: f64) {
         metrics::with_local_recorder(&self.recorder, || metrics::gauge!(name).set(value));
--- a/src/process/suspension.rs
+++ b/src/process/suspension.rs
@@ -16,6 +16,11 @@
     as_duration(clock_gettime(ClockId::Boottime)).saturating_sub(steady)
 }
 
+/// Time since the VM was booted, which includes its suspensions.
+pub fn since_boot() -> Duration {
+    as_duration(clock_gettime(ClockId::Boottime))
+}
+
 /// The suspension between two totals; zero if it is too short to be one.
 pub fn between(earlier: Duration, later: Duration) -> Duration {
     let suspended = later.saturating_sub(earlier);
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -5,7 +5,7 @@
 use crate::prelude::*;
 use crate::process::gateway::registered_target::RegisteredTargetKey;
 use crate::process::gateway::search::{search, Choice, SearchError, SearchStats};
-use crate::process::gateway::Gateway;
+use crate::process::gateway::{quota, Gateway};
 use crate::request::relay_attempt::send;
 
 /// Mean `retry-after` of responses of an entry that is not ready.
@@ -68,6 +68,10 @@
 
 /// Makes attempts until one succeeds or no further one is allowed.
 async fn make_attempts(gateway: &Rc<Gateway>, routed: &mut RoutedCall, mut call: Call) -> Answer {
+    let mut admitted: Option<Rc<str>> = None;
+    if let Err(refusal) = admit_workspace(gateway, routed, &mut admitted).await {
+        return refusal;
+    }
     gateway.retries.borrow_mut().record_call(&routed.service, routed.arrived);
     let mut tried: Vec<RegisteredTargetKey> = Vec::new();
     let mut fallback: Option<Answer> = None;
@@ -75,6 +79,9 @@
         if let Err(code) = routed.refresh_workspace() {
             return fallback.unwrap_or_else(|| Answer::own(code));
         }
+        if let Err(refusal) = admit_workspace(gateway, routed, &mut admitted).await {
+            return fallback.unwrap_or(refusal);
+        }
         let choice = match find_target(gateway, routed, &tried).await {
             Ok(choice) => choice,
             Err(code) => return fallback.unwrap_or_else(|| Answer::own(code)),
@@ -113,6 +120,34 @@
     }
 }
 
+/// Takes a token of the call's workspace, unless the call has one of this workspace; `admitted` is the
+/// workspace whose token the call has.
+async fn admit_workspace(
+    gateway: &Rc<Gateway>,
+    routed: &RoutedCall,
+    admitted: &mut Option<Rc<str>>,
+) -> Result<(), Answer> {
+    let Some(workspace) = routed.workspace.as_ref().filter(|plan| plan.quota.is_some()) else {
+        return Ok(());
+    };
+    if admitted.as_ref() == Some(&workspace.name) {
+        return Ok(());
+    }
+    let admission = quota::admit(gateway, workspace);
+    match monoio::time::timeout(routed.left(Instant::now()), admission).await {
+        Err(_) => Err(Answer::own(Code::NotRunDeadline)),
+        Ok(Err(wait)) => {
+            let mut refusal = Answer::own(Code::RefusedQuota);
+            refusal.set_retry_after(wait);
+            Err(refusal)
+        }
+        Ok(Ok(())) => {
+            *admitted = Some(workspace.name.clone());
+            Ok(())
+        }
+    }
+}
+
 /// Tells a service whose targets all turn calls away for a time from one without targets.
 fn no_target_code(gateway: &Gateway, routed: &RoutedCall) -> Code {
     match gateway.registry.borrow().retry_at(&routed.service, Instant::now()) {
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -221,6 +221,9 @@
         };
         let duration = self.arrived.elapsed();
         self.gateway.metrics.record_call(&self.route.host, &self.route.name, code, duration);
+        if let Some(workspace) = &self.workspace {
+            self.gateway.metrics.count_workspace_call(&workspace.name, code);
+        }
         log::info!(
             call = self.id.as_str(), route = &*self.route.name, service = &*self.service,
             version = self.version, code = code.number(), status, attempts = self.sent_attempts,
