--- a/src/process/gateway/quota/task.rs
+++ b/src/process/gateway/quota/task.rs
@@ -75,6 +75,11 @@
         self.settle(gateway);
     }
 
+    /// Number of calls that wait for a token.
+    pub fn waiting_count(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+
     /// Sends what is to be sent and tells the waiting calls their verdicts.
     fn settle(&self, gateway: &Gateway) {
         let datagrams = self.node.borrow_mut().take_outbox();
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -14,6 +14,10 @@
 /// all targets turn calls away for longer.
 const RETRY_AFTER_DIVISOR: u32 = 3;
 
+/// Shortest `retry-after` of a call beyond its quota. The header has a resolution of 1 ms, and 0 would
+/// tell the caller to return at once.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(1);
+
 /// Finds a call's route, makes the attempts, and logs and counts the result.
 pub async fn relay(gateway: Rc<Gateway>, mut call: Call) -> Answer {
     let mut routed = match RoutedCall::find(&gateway, &mut call, Instant::now()) {
@@ -138,7 +142,7 @@
         Err(_) => Err(Answer::own(Code::NotRunDeadline)),
         Ok(Err(wait)) => {
             let mut refusal = Answer::own(Code::RefusedQuota);
-            refusal.set_retry_after(wait);
+            refusal.set_retry_after(wait.max(MIN_RETRY_AFTER));
             Err(refusal)
         }
         Ok(Ok(())) => {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -305,6 +305,69 @@
     }
 }
 
+/// What the owner adds of its own when a request asks for tokens: the longest span, undivided.
+const OWN_SHARE: f64 = 0.3;
+
+/// The stamp that an owner sends to an entry without one.
+fn stamp_of(node: &mut Node, now: Duration) -> u64 {
+    let mut first = request(0);
+    first.shard = ShardKey { index: 0, count: 1 };
+    first.echo = None;
+    node.receive_request(&first, record(1, 1).address, now);
+    Reply::decode(&node.take_outbox()[0].message).unwrap().stamp
+}
+
+/// A request that was sent 10 ms after the stamp was received and is read `transit` later.
+fn receive_handover(node: &mut Node, number: u64, stamp: u64, transit: Duration) -> Option<Reply> {
+    let mut handover = request(1);
+    handover.shard = ShardKey { index: 0, count: 1 };
+    (handover.number, handover.entries) = (number, 4);
+    handover.echo = Some(StampEcho { stamp, held_us: 10_000 });
+    node.receive_request(&handover, record(1, 1).address, START + ms(10) + transit);
+    node.take_outbox().first().map(|datagram| Reply::decode(&datagram.message).unwrap())
+}
+
+/// Guards against refill of a time long ago: a paused process sends or reads messages late.
+#[test]
+fn a_late_request_is_neither_accepted_nor_granted() {
+    let mut node = owner();
+    let stamp = stamp_of(&mut node, START);
+
+    let late = receive_handover(&mut node, 1, stamp, ms(101)).unwrap();
+    assert!(!late.accepted && late.grants.is_empty());
+    assert_eq!(node.owner_figures(START + ms(200)).received, 0.0);
+
+    let timely = receive_handover(&mut node, 2, stamp, ms(99)).unwrap();
+    assert!(timely.accepted && timely.grants.len() == 1);
+    let received = node.owner_figures(START + ms(200)).received;
+    assert_eq!(received, OWN_SHARE + 0.25 / 4.0);
+}
+
+/// Guards against a datagram that the network doubles.
+#[test]
+fn a_doubled_request_is_accepted_once() {
+    let mut node = owner();
+    let stamp = stamp_of(&mut node, START);
+
+    assert!(receive_handover(&mut node, 1, stamp, ms(1)).is_some());
+    assert!(receive_handover(&mut node, 1, stamp, ms(2)).is_none());
+
+    let received = node.owner_figures(START + ms(200)).received;
+    assert_eq!(received, OWN_SHARE + 0.25 / 4.0);
+}
+
+/// Guards against a stamp of the owner's earlier process, whose state is gone.
+#[test]
+fn a_stamp_of_an_earlier_process_is_refused() {
+    let stamp = stamp_of(&mut owner(), START);
+    let mut restarted = Node::new(1 << 40);
+    restarted.set_entries(Some(1), START);
+
+    let reply = receive_handover(&mut restarted, 1, stamp, ms(1)).unwrap();
+
+    assert!(!reply.accepted);
+}
+
 /// The only entry of its list.
 fn owner() -> Node {
     let mut node = Node::new(u64::MAX - 12_345);
