--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod overload;
 pub mod probe_budget;
 pub mod probing;
+pub mod quota;
 pub mod read_timing;
 pub mod registered_target;
 pub mod registry;
@@ -44,6 +45,7 @@
 use self::evacuations::Evacuations;
 use self::header_names::HeaderNames;
 use self::probe_budget::{ProbeBudget, RateLimit};
+use self::quota::Quotas;
 use self::registered_target::{RegisteredTarget, RegisteredTargetKey};
 use self::registry::TargetRegistry;
 use self::retry_budget::RetryBudget;
@@ -84,6 +86,8 @@
     /// Running probes, which may outlive the calls that sent them.
     pub probe_tasks: Tasks,
     pub sharing: Sharing,
+    /// Tokens of workspaces with a limit.
+    pub quotas: Quotas,
     /// The change that holds the routes in force, in the format of the directory.
     pub route_change: RefCell<Option<Change>>,
     /// Offsets at which the next read of each feed starts; `None` if it must read a snapshot.
@@ -104,6 +108,7 @@
         let retries = RetryBudget::new(ratio, slack, settings.retry_window());
         let directory_health = DirectoryHealth::new(settings.renewal_interval());
         let evacuations = Evacuations::new(settings.evacuation_limit());
+        let mut rng = SmallRng::from_os_rng();
         Self {
             settings: RefCell::new(settings),
             header_names,
@@ -115,7 +120,8 @@
             durations: RefCell::default(),
             shutdown: Rc::default(),
             limits: Rc::default(),
-            rng: RefCell::new(SmallRng::from_os_rng()),
+            quotas: Quotas::new(rng.random()),
+            rng: RefCell::new(rng),
             directory_health: RefCell::new(directory_health),
             probe_tasks: Tasks::default(),
             sharing: Sharing::default(),
@@ -150,6 +156,7 @@
         });
         self.metrics.set_gauge("cornellink_revision", table.version as f64);
         self.durations.borrow_mut().retain(|name| table.has_route(name));
+        self.quotas.set_table(&table, self.settings.borrow().quota_terms());
         self.table.replace(Some(table));
         true
     }
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -470,7 +470,7 @@
 
         let result = send(&gateway, &mut routed, &mut call, found.ok().unwrap()).await;
 
-        assert!(matches!(result, AttemptResult::NotSent(Code::NotRunNoTarget)));
+        assert!(matches!(result, Some(AttemptResult::NotSent(Code::NotRunNoTarget))));
         assert_eq!((routed.sent_attempts, near.received_calls().len()), (0, 0));
     })
     .unwrap();
