Answer the calls that are left at the end of a planned stop

Change: shortly before the process exits, each call still in flight gets code 306, or 603 if it was not sent; only what cannot be written is cut.

--- a/src/process/caller_server.rs
+++ b/src/process/caller_server.rs
@@ -25,6 +25,9 @@
 /// The kernel's accept queue counts as empty when no connection arrives within this time.
 const ACCEPT_QUEUE_TIMEOUT: Duration = Duration::from_millis(5);
 
+/// Time at the end of a shutdown for the responses to the calls that are still in flight.
+const LAST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Time after the accept for which a connection without a call stays open during a shutdown. A
 /// caller that has just connected sends its first call one round trip later.
 const FIRST_CALL_GRACE: Duration = Duration::from_millis(500);
@@ -76,7 +79,11 @@
         drop(listener);
         shutdown.close_idle();
         let remaining = period.end().saturating_duration_since(Instant::now());
-        if monoio::time::timeout(remaining, tasks.join()).await.is_err() {
+        if monoio::time::timeout(remaining, tasks.join()).await.is_ok() {
+            return;
+        }
+        shutdown.expire_calls();
+        if monoio::time::timeout(LAST_RESPONSE_TIMEOUT, tasks.join()).await.is_err() {
             log::warn!(cut = shutdown.inflight(); "calls were cut by the shutdown");
             shutdown.set_aborting();
             tasks.stop();
--- a/src/process/shutdown.rs
+++ b/src/process/shutdown.rs
@@ -34,6 +34,8 @@
     request_stage: Semaphore,
     /// Closed when idle connections must be closed.
     idle_stage: Semaphore,
+    /// Closed when the calls still in flight get their last response.
+    expiry_stage: Semaphore,
     grace_period: Cell<Option<GracePeriod>>,
     /// Whether the calls still in flight are being aborted.
     is_aborting: Cell<bool>,
@@ -45,6 +47,7 @@
         Self {
             request_stage: Semaphore::new(0),
             idle_stage: Semaphore::new(0),
+            expiry_stage: Semaphore::new(0),
             grace_period: Cell::default(),
             is_aborting: Cell::default(),
             inflight: Cell::new(0),
@@ -83,6 +86,16 @@
         }
     }
 
+    /// Requests a response to each call still in flight, whatever has become of it.
+    pub fn expire_calls(&self) {
+        self.expiry_stage.close();
+    }
+
+    /// Waits until the calls still in flight must be answered.
+    pub async fn calls_expired(&self) {
+        let _ = self.expiry_stage.acquire().await;
+    }
+
     /// Records that the calls still in flight are being aborted.
     pub fn set_aborting(&self) {
         self.is_aborting.set(true);
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -24,7 +24,12 @@
         Ok(routed) => routed,
         Err(code) => return reject(&gateway, &call, code),
     };
-    let mut response = make_attempts(&gateway, &mut routed, call).await;
+    let answered = monoio::select! {
+        biased;
+        response = make_attempts(&gateway, &mut routed, call) => Some(response),
+        () = gateway.shutdown.calls_expired() => None,
+    };
+    let mut response = answered.unwrap_or_else(|| expire(&routed));
     if let Some(code) = response.code() {
         complete_own_response(&gateway, &mut response, &routed, code);
     }
@@ -32,6 +37,15 @@
     response
 }
 
+/// Builds the response to a call that has none at the end of a shutdown.
+fn expire(routed: &RoutedCall) -> Answer {
+    routed.log_abort();
+    match routed.sent_attempts {
+        0 => Answer::own(Code::NotReadyStopping),
+        _ => Answer::own(Code::UnknownShutdown),
+    }
+}
+
 /// Logs and builds the response to a call without a route.
 fn reject(gateway: &Gateway, call: &Call, code: Code) -> Answer {
     let id = call.header(gateway.header_names.call_id).unwrap_or_default();
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -199,7 +199,7 @@
 
     /// Logs a call that the entry aborts, with the time of its arrival after the termination signal;
     /// the field is null if it arrived before.
-    fn log_abort(&self) {
+    pub fn log_abort(&self) {
         let period = self.gateway.shutdown.grace_period();
         let arrived = period.and_then(|period| self.arrived.checked_duration_since(period.start()));
         log::warn!(
