--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -306,6 +306,7 @@
 
     client.send(get("/3").as_bytes());
     server.open("/2");
+    server.until_completed("/2");
     server.settle();
     let started = server.started();
     let first = client.read_response(false).unwrap().1;
