Bound the tokens of a cold share at very high rates

A service with `warmup_per_s` of 1e6 got 50,000 tokens for each cold target, and one with 1e9 would have occupied the memory and the thread. A token now expires at the latest when 1,000 newer ones have accrued.

--- a/src/process/gateway/cold_share.rs
+++ b/src/process/gateway/cold_share.rs
@@ -11,6 +11,9 @@
 /// Lifetime of a token within these bounds, as a share of the time between two tokens. Tokens that
 /// are saved up lower the rate that keeps the bound.
 const LIFETIME_RATIO: f64 = 0.25;
+/// Most tokens that accrue before the first of them expires, so that an entry holds few of them at any
+/// rate that a configuration may state.
+const MAX_TOKENS: u32 = 1000;
 /// Period in which the bound on the calls to a cold target holds.
 const BOUND_WINDOW: Duration = Duration::from_secs(1);
 /// Standard deviations between the mean number of calls in a window and the bound. Entries do not
@@ -165,8 +168,9 @@
 
 /// Time after which a token expires.
 fn lifetime(period: Option<Duration>) -> Duration {
-    let lifetime = period.map_or(MAX_TOKEN_LIFETIME, |period| period.mul_f64(LIFETIME_RATIO));
-    lifetime.clamp(MIN_TOKEN_LIFETIME, MAX_TOKEN_LIFETIME)
+    let Some(period) = period else { return MAX_TOKEN_LIFETIME };
+    let lifetime = period.mul_f64(LIFETIME_RATIO).clamp(MIN_TOKEN_LIFETIME, MAX_TOKEN_LIFETIME);
+    lifetime.min(period.saturating_mul(MAX_TOKENS))
 }
 
 /// Time between two tokens at `rate` tokens per second; `None` if it is too long to matter.
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -196,6 +196,20 @@
     assert!(taken <= 1, "{taken}");
 }
 
+/// Guards against a very high warm-up rate in a configuration, with which the tokens of one target
+/// would occupy the memory and the thread of the entry.
+#[test]
+fn number_of_tokens_is_bounded_at_a_very_high_rate() {
+    let start = Instant::now();
+    let limit = ColdLimit { rate: 1e6, max_calls: 1e9, entries: 1, subset_ratio: 1.0 };
+    let mut share = ColdShare::new(limit, 0.5, start);
+    let now = start + Duration::from_secs(3600);
+
+    let taken = std::iter::from_fn(|| share.take(now)).count();
+
+    assert!((1..=2000).contains(&taken), "{taken}");
+}
+
 /// Guards against a call that was not sent and yet uses up the share, and against a token that
 /// outlives its expiry because it was given back.
 #[test]
