Count only open domains in the share of a cold target

While domains are evacuated, the subsets of all entries consist of the targets of the others, so that more entries use each of them. The share was computed from all targets, and a cold target could get about twice its calls (114 instead of 59 in 600 s for one of 125 entries, with two of four domains evacuated).

--- a/src/process/gateway/cold_targets.rs
+++ b/src/process/gateway/cold_targets.rs
@@ -138,9 +138,12 @@
     ) -> ColdLimit {
         let settings = self.settings.borrow();
         let subset_ratio = registry.get(key).map_or(1.0, |cold| {
-            // Suspect targets are in no subset as long as there are others.
+            // Suspect targets are in no subset as long as there are others. Calls that may use the
+            // target may not always use the domains of which fewer calls may use the targets.
+            let share = self.domain_share(cold, now);
             let is_used = |(other, target): &(RegisteredTargetKey, &RegisteredTarget)| {
-                *other == key || (target.is_eligible(now) && !target.is_suspect(now))
+                let is_in_subsets = target.is_eligible(now) && !target.is_suspect(now);
+                *other == key || (is_in_subsets && self.domain_share(target, now) >= share)
             };
             let used = registry.service(&cold.registration.service).filter(is_used);
             let domains = used.map(|(_, target)| &*target.registration.domain);
--- a/tests/cold_targets.rs
+++ b/tests/cold_targets.rs
@@ -4,17 +4,20 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use cornellink::edge::directory::{DecodedChange, Feed};
+use cornellink::edge::directory::{DecodedChange, EvacuationState, Feed};
 use cornellink::prelude::*;
 use cornellink::process::gateway::choice::{subset, subset_ratio, Candidate};
 use cornellink::process::gateway::cold_share::{ColdLimit, ColdShare, MAX_TOKEN_LIFETIME};
 use cornellink::process::gateway::cold_targets::{ColdAccess, ColdPermit};
+use cornellink::process::gateway::evacuation_record::EvacuationRecord;
 use cornellink::process::gateway::registered_target::RegisteredTargetKey;
 use cornellink::process::gateway::registry::TargetRegistry;
+use cornellink::process::gateway::sharing::freshness::CopyState;
 use cornellink::process::gateway::warmup::{parse_warmup, Warmup};
+use cornellink::process::gateway::Gateway;
 use cornellink::process::runtime::block_on;
 use cornellink::version::route_table::{RouteTable, ServicePlan};
-use fixture::gateway::{idempotent_route, until, TestGateway, HEADER_NAMES};
+use fixture::gateway::{idempotent_route, settings, until, TestGateway, HEADER_NAMES};
 use fixture::registry::{any_target, apply_registration, bounds, key_of, target, PROBE_PATH};
 use fixture::scripted::{Script, ScriptedTarget};
 use rand::rngs::SmallRng;
@@ -321,6 +324,50 @@
     this
 }
 
+/// A gateway of a fleet of 125 entries with 20 targets of the service `s` in each of the domains; the
+/// first target is cold.
+fn gateway_with_domains(domains: &[&str]) -> Gateway {
+    let gateway = Gateway::new(settings("entry-1", None), HEADER_NAMES);
+    gateway.set_table(Rc::new(table_with_rate(Some(RATE))));
+    gateway.sharing.record_reported_entries(Some(125));
+    for number in 0..20 * domains.len() {
+        let mut registration = any_target(&format!("t-{number}"));
+        registration.domain = domains[number / 20].into();
+        if number == 0 {
+            registration.warmup = Duration::from_secs(3600);
+        }
+        apply_registration(&mut gateway.registry.borrow_mut(), number as u64, &registration);
+    }
+    gateway
+}
+
+/// Number of calls that a gateway may send to its first target within 600 s.
+fn permitted_calls(gateway: &Gateway, start: Instant) -> usize {
+    let key = key_of(&gateway.registry.borrow(), "s", "t-0");
+    let times = (0..600 * STEPS_PER_SECOND as u32).map(|step| start + STEP * step);
+    times.filter(|now| gateway.take_cold_permit(key, *now).is_some()).count()
+}
+
+/// Guards against a cold target that gets too many calls while other domains are evacuated: the
+/// subsets of all entries then consist of fewer targets, so that more entries use it.
+#[test]
+fn share_shrinks_when_other_domains_are_evacuated() {
+    let start = Instant::now();
+    let evacuated = gateway_with_domains(&["a", "b", "c", "d"]);
+    for (offset, domain) in [(1, "c"), (2, "d")] {
+        let state = EvacuationState::Active;
+        let record = EvacuationRecord { domain: domain.into(), offset, state };
+        evacuated.evacuations.borrow_mut().apply(&record, CopyState::Stale, start);
+    }
+    let smaller = gateway_with_domains(&["a", "b"]);
+    let whole = gateway_with_domains(&["a", "b", "c", "d"]);
+
+    let calls = [&evacuated, &smaller, &whole].map(|gateway| permitted_calls(gateway, start));
+
+    let [evacuated, smaller, whole] = calls;
+    assert!(evacuated.abs_diff(smaller) <= 1 && smaller < whole, "{calls:?}");
+}
+
 /// Sends calls at intervals of 20 ms for a time; returns the number that was answered with 200.
 async fn call_for(gateway: &TestGateway, time: Duration) -> usize {
     let (end, mut answered) = (Instant::now() + time, 0);
