--- a/src/process/gateway/follower.rs
+++ b/src/process/gateway/follower.rs
@@ -140,7 +140,10 @@
                 let now = Instant::now();
                 let mut freshness = gateway.sharing.freshness.borrow_mut();
                 was_stale |= freshness.copy_state(now) == CopyState::Stale;
-                freshness.record_read(Feed::Routes, now);
+                // A gap leaves the copy as old as it was until the snapshot is read.
+                if let ReadOutcome::Batch(_) = &result {
+                    freshness.record_read(Feed::Routes, now);
+                }
                 drop(freshness);
                 match result {
                     ReadOutcome::Batch(batch) => {
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -4,8 +4,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use cornellink::edge::directory::{Batch, DecodedChange, EvacuationState, Feed};
+use cornellink::edge::directory::{
+    Batch, Change, DecodedChange, Directory, EntryRecord, EvacuationState, Feed, ReadOutcome,
+};
 use cornellink::edge::stand_in::directory::StandInDirectory;
+use cornellink::edge::PlatformFuture;
 use cornellink::prelude::*;
 use cornellink::process::gateway::evacuation_effect::EvacuationEffect;
 use cornellink::process::gateway::evacuation_record::EvacuationRecord;
@@ -569,3 +572,57 @@
     assert!(share(&fresh) > 0.9, "{}", share(&fresh));
     assert_eq!(share(&stale), 0.0);
 }
+
+/// A directory whose feed of the routes has a gap and whose snapshot of the routes does not arrive.
+#[derive(Default)]
+struct GapDirectory {
+    inner: StandInDirectory,
+}
+
+impl Directory for GapDirectory {
+    fn snapshot(&self, feed: Feed) -> PlatformFuture<'_, Batch> {
+        match feed {
+            Feed::Routes => Box::pin(std::future::pending()),
+            Feed::Targets => self.inner.snapshot(feed),
+        }
+    }
+
+    fn changes(&self, feed: Feed, from: u64, wait: Duration) -> PlatformFuture<'_, ReadOutcome> {
+        match feed {
+            Feed::Routes => Box::pin(async { Ok(ReadOutcome::Gap) }),
+            Feed::Targets => self.inner.changes(feed, from, wait),
+        }
+    }
+
+    fn decode(&self, feed: Feed, change: &Change) -> Option<DecodedChange> {
+        self.inner.decode(feed, change)
+    }
+
+    fn register_entry<'a>(&'a self, record: &EntryRecord) -> PlatformFuture<'a, ()> {
+        self.inner.register_entry(record)
+    }
+
+    fn entry_records(&self) -> PlatformFuture<'_, Vec<EntryRecord>> {
+        self.inner.entry_records()
+    }
+}
+
+/// Guards against an entry that returns after a long time, finds a gap, and counts its copy as fresh
+/// before the snapshot: it would use an old record's domain for a whole ramp, as would its subscribers.
+#[test]
+fn copy_stays_stale_between_a_gap_and_the_snapshot() {
+    block_on(async {
+        let directory = Rc::new(GapDirectory::default());
+        let gateway = Rc::new(Gateway::new(settings("entry-1", None), HEADER_NAMES));
+        gateway.sharing.freshness.borrow_mut().record_update(ms(30_000), Instant::now());
+        gateway.next_routes.set(Some(1));
+
+        monoio::spawn(follower::follow(gateway.clone(), directory));
+        until("the gap is noticed", || gateway.next_routes.get().is_none()).await;
+        until("the targets are read", || gateway.last_read.get().is_some()).await;
+
+        let copy = gateway.sharing.freshness.borrow().copy_state(Instant::now());
+        assert_eq!(copy, CopyState::Stale);
+    })
+    .unwrap();
+}
