--- a/src/process/gateway/apply.rs
+++ b/src/process/gateway/apply.rs
@@ -37,10 +37,16 @@
 impl Gateway {
     /// Applies a batch read from the feed of routes.
     pub fn apply_routes(&self, directory: &dyn Directory, batch: Batch, read: RoutesRead) {
-        self.apply_evacuations(directory, &batch, read);
+        // A configuration may be large, so that each change is decoded only once.
+        let decode = |change: Change| {
+            let decoded = directory.decode(Feed::Routes, &change);
+            (change, decoded)
+        };
+        let changes: Vec<_> = batch.changes.into_iter().map(decode).collect();
+        self.apply_evacuations(&changes, batch.next, read);
         let mut newest = None;
-        for change in batch.changes {
-            if self.apply_route_change(directory, &change, Source::Directory) {
+        for (change, decoded) in changes {
+            if self.apply_route_change(&change, decoded, Source::Directory) {
                 newest = Some(change);
             }
         }
@@ -88,7 +94,8 @@
         let copy = self.sharing.freshness.borrow().copy_state(Instant::now());
         self.apply_shared_evacuations(&update.evacuations, update.routes_next, copy);
         if let Some(change) = &update.routes {
-            self.apply_route_change(directory, change, Source::Entry);
+            let decoded = directory.decode(Feed::Routes, change);
+            self.apply_route_change(change, decoded, Source::Entry);
         }
         for change in &update.targets {
             self.apply_target_change(directory, change, AbsencePolicy::Remove, Source::Entry);
@@ -197,11 +204,11 @@
     /// Applies a change of the routes; returns whether the new routes are in force.
     fn apply_route_change(
         &self,
-        directory: &dyn Directory,
         change: &Change,
+        decoded: Option<DecodedChange>,
         source: Source,
     ) -> bool {
-        match directory.decode(Feed::Routes, change) {
+        match decoded {
             Some(DecodedChange::Routes(table)) => {
                 let in_force = self.set_table(table.clone());
                 if in_force {
--- a/src/process/gateway/apply_evacuations.rs
+++ b/src/process/gateway/apply_evacuations.rs
@@ -6,28 +6,34 @@
 use super::routes_read::RoutesRead;
 use super::sharing::freshness::CopyState;
 use super::Gateway;
-use crate::edge::directory::{Batch, DecodedChange, Directory, Feed};
+use crate::edge::directory::{Change, DecodedChange};
 use crate::prelude::*;
 
 impl Gateway {
-    /// Applies the records of evacuations in a batch of the routes' feed.
-    pub fn apply_evacuations(&self, directory: &dyn Directory, batch: &Batch, read: RoutesRead) {
-        let records = batch.changes.iter().filter_map(|change| {
-            match directory.decode(Feed::Routes, change)? {
-                DecodedChange::Evacuation { domain, state } => {
-                    Some(EvacuationRecord { domain, offset: change.offset, state })
-                }
-                DecodedChange::Routes(_)
-                | DecodedChange::Target(_)
-                | DecodedChange::Removed
-                | DecodedChange::Unusable(_) => None,
-            }
+    /// Applies the records of evacuations in a batch of the routes' feed that ends at the offset
+    /// `end`.
+    pub fn apply_evacuations(
+        &self,
+        changes: &[(Change, Option<DecodedChange>)],
+        end: u64,
+        read: RoutesRead,
+    ) {
+        let records = changes.iter().filter_map(|(change, decoded)| match decoded.as_ref()? {
+            DecodedChange::Evacuation { domain, state } => Some(EvacuationRecord {
+                domain: domain.clone(),
+                offset: change.offset,
+                state: *state,
+            }),
+            DecodedChange::Routes(_)
+            | DecodedChange::Target(_)
+            | DecodedChange::Removed
+            | DecodedChange::Unusable(_) => None,
         });
         let records: Vec<EvacuationRecord> = records.collect();
         let now = Instant::now();
         if read.is_snapshot {
             let mut evacuations = self.evacuations.borrow_mut();
-            let effects = evacuations.apply_snapshot(&records, batch.next, read.copy, now);
+            let effects = evacuations.apply_snapshot(&records, end, read.copy, now);
             drop(evacuations);
             return self.record_evacuations(&effects, Source::Directory);
         }
@@ -37,7 +43,7 @@
             let effect = evacuations.apply(&record, read.copy, now);
             effects.push((record, effect));
         }
-        evacuations.set_complete_to(batch.next, now);
+        evacuations.set_complete_to(end, now);
         drop(evacuations);
         self.record_evacuations(&effects, Source::Directory);
     }
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -574,9 +574,11 @@
 }
 
 /// A directory whose feed of the routes has a gap and whose snapshot of the routes does not arrive.
+/// It counts the decoded changes.
 #[derive(Default)]
 struct GapDirectory {
     inner: StandInDirectory,
+    decoded: Cell<usize>,
 }
 
 impl Directory for GapDirectory {
@@ -595,6 +597,7 @@
     }
 
     fn decode(&self, feed: Feed, change: &Change) -> Option<DecodedChange> {
+        self.decoded.set(self.decoded.get() + 1);
         self.inner.decode(feed, change)
     }
 
@@ -626,3 +629,23 @@
     })
     .unwrap();
 }
+
+/// Guards against a large configuration that is parsed twice, which doubles the pause of the calls, and
+/// against two log lines for one malformed name.
+#[test]
+fn each_change_of_the_routes_is_decoded_once() {
+    let directory = GapDirectory::default();
+    let gateway = Gateway::new(settings("entry-1", None), HEADER_NAMES);
+    let table = table(1, vec![idempotent_route()]).expect("the route is valid");
+    directory.inner.append(Feed::Routes, "config", DecodedChange::Routes(Rc::new(table)));
+    let (domain, state) = ("a".into(), EvacuationState::Active);
+    let evacuation = DecodedChange::Evacuation { domain, state };
+    directory.inner.append(Feed::Routes, "evacuate/a", evacuation);
+    let batch = Batch { changes: directory.inner.all_changes(Feed::Routes), next: 2 };
+
+    let read = RoutesRead { is_snapshot: true, copy: CopyState::Fresh };
+    gateway.apply_routes(&directory, batch, read);
+
+    assert_eq!(directory.decoded.get(), 2);
+    assert!(gateway.table().is_some() && is_evacuated(&gateway.evacuations.borrow(), "a"));
+}
