--- a/src/process/gateway/search.rs
+++ b/src/process/gateway/search.rs
@@ -189,17 +189,22 @@
             excluded: excluded.contains(&key),
             ..Candidate::new(key, target, &settings.name, &settings.domain, now)
         };
-        (candidate, is_drawn)
+        // Only these need the second lookup in `cold_access`.
+        let may_be_limited = target.warmup.is_cold(now) || target.cold_share.is_some();
+        (candidate, is_drawn, may_be_limited)
     });
-    let mut candidates: Vec<(Candidate, bool)> = candidates.collect();
+    let mut candidates: Vec<(Candidate, bool, bool)> = candidates.collect();
     drop((registry, settings));
     let tried = &excluded[..tried_count];
-    if candidates.iter().any(|(one, is_drawn)| *is_drawn && !tried.contains(&one.key)) {
-        candidates.retain(|(_, is_drawn)| *is_drawn);
+    if candidates.iter().any(|(one, is_drawn, _)| *is_drawn && !tried.contains(&one.key)) {
+        candidates.retain(|(_, is_drawn, _)| *is_drawn);
     }
-    let candidates = candidates.into_iter().map(|(candidate, _)| Candidate {
-        cold: gateway.cold_access(candidate.key, now),
-        ..candidate
+    let candidates = candidates.into_iter().map(|(candidate, _, may_be_limited)| {
+        let cold = match may_be_limited {
+            true => gateway.cold_access(candidate.key, now),
+            false => ColdAccess::Unlimited,
+        };
+        Candidate { cold, ..candidate }
     });
     candidates.collect()
 }
