Spend one retry of the budget for a retry that a cold target defers

Cause: each loop of a retry that lost the race for the token of a cold target took another retry from the budget. Found by review; no deterministic test.

--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -93,6 +93,8 @@
     gateway.retries.borrow_mut().record_call(&routed.service, routed.arrived);
     let mut tried: Vec<RegisteredTargetKey> = Vec::new();
     let mut fallback: Option<Answer> = None;
+    // Whether the budget has granted the next retry, which a cold target may defer more than once.
+    let mut has_retry = false;
     loop {
         if let Err(code) = routed.refresh_workspace() {
             return fallback.unwrap_or_else(|| Answer::own(code));
@@ -105,18 +107,19 @@
             Err(code) => return fallback.unwrap_or_else(|| Answer::own(code)),
         };
         // Only attempts after one that may have sent the call count as retries against the budget.
-        let is_retry = routed.sent_attempts > 0;
-        let now = Instant::now();
-        if is_retry && !gateway.spend_retry(&routed.service, now) {
+        let needs_retry = routed.sent_attempts > 0 && !has_retry;
+        if needs_retry && !gateway.spend_retry(&routed.service, Instant::now()) {
             routed.record_refused_retry();
             return fallback.unwrap_or_else(|| Answer::own(Code::NotRunRefused));
         }
+        has_retry = true;
         tried.push(choice.key);
         let idempotent = routed.route.idempotent;
         let Some(result) = send(gateway, routed, &mut call, choice).await else {
             tried.pop();
             continue;
         };
+        has_retry = false;
         match result {
             AttemptResult::Answered(response)
                 if !idempotent || !response.status.is_server_error() =>
