Apply new workspaces and moved keys to calls that wait for a target

A call that arrived before the configuration named workspaces kept its key, which reached the target, and needed none. A call whose key was moved while it waited counted its target as tried, and was refused if the service had no other one; so was a call whose configuration lost its workspaces. A target's refusal replaced the 401 of a key that was taken away meanwhile.

--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -94,11 +94,11 @@
     let mut tried: Vec<RegisteredTargetKey> = Vec::new();
     let mut fallback: Option<Answer> = None;
     loop {
-        if let Err(code) = routed.refresh_workspace() {
-            return fallback.unwrap_or_else(|| Answer::own(code));
+        if let Err(code) = routed.refresh_workspace(&mut call) {
+            return refuse_unless_run(fallback, Answer::own(code));
         }
         if let Err(refusal) = admit_workspace(gateway, routed, &mut admitted).await {
-            return fallback.unwrap_or(refusal);
+            return refuse_unless_run(fallback, refusal);
         }
         let choice = match find_target(gateway, routed, &tried).await {
             Ok(choice) => choice,
@@ -126,12 +126,8 @@
             AttemptResult::Answered(response) => fallback = Some(response),
             AttemptResult::Unknown(code) if !idempotent => return Answer::own(code),
             AttemptResult::Unknown(code) => fallback = Some(Answer::own(code)),
-            // A "not run" result must not replace that of an earlier attempt which may have run.
             AttemptResult::NotRun(code) | AttemptResult::NotSent(code) => {
-                let may_have_run = fallback.as_ref().is_some_and(|fallback| !is_not_run(fallback));
-                if !may_have_run {
-                    fallback = Some(Answer::own(code));
-                }
+                fallback = Some(refuse_unless_run(fallback, Answer::own(code)));
             }
         }
         if routed.sent_attempts >= routed.route.max_attempts
@@ -178,6 +174,12 @@
     }
 }
 
+/// The result of a call that was refused after its earlier attempts, whose result is `earlier`. A "not
+/// run" result must not replace that of an attempt which may have run.
+fn refuse_unless_run(earlier: Option<Answer>, refusal: Answer) -> Answer {
+    earlier.filter(|earlier| !is_not_run(earlier)).unwrap_or(refusal)
+}
+
 fn is_not_run(response: &Answer) -> bool {
     response.code().is_some_and(Code::is_not_run)
 }
--- a/src/request/relay_attempt.rs
+++ b/src/request/relay_attempt.rs
@@ -14,8 +14,9 @@
 
 /// Sends a call to the chosen target and records the target's health, load and durations.
 ///
-/// Returns `None` if the target is cold and other calls have taken the tokens for it; the call may
-/// still go there later.
+/// Returns `None` if the target is cold and other calls have taken the tokens for it, or if the call's
+/// key was moved to another workspace, which must admit the call first. The call may still go to the
+/// target later.
 pub async fn send(
     gateway: &Rc<Gateway>,
     routed: &mut RoutedCall,
@@ -52,11 +53,10 @@
     if !routed.may_be_sent() {
         return Some(AttemptResult::NotSent(Code::NotReadyStopping));
     }
-    match routed.refresh_workspace() {
+    match routed.refresh_workspace(call) {
         // The key was taken away while the call waited for a target.
         Err(code) => return Some(AttemptResult::NotSent(code)),
-        // The next attempt is one of the other workspace.
-        Ok(true) => return Some(AttemptResult::NotSent(Code::NotRunRefused)),
+        Ok(true) => return None,
         Ok(false) => {}
     }
     // Nothing is awaited between here and the write.
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -34,9 +34,10 @@
     pub workspace: Option<Rc<WorkspacePlan>>,
     /// The key, which is marked as sensitive and sent to no target.
     key: Option<HeaderValue>,
-    /// Version of the route table in which the key was last looked up; `None` if calls carried no
-    /// keys when the call arrived.
-    key_version: Option<u64>,
+    /// Whether the key was removed from the call, since the routes name workspaces.
+    is_key_taken: bool,
+    /// Version of the route table in which the workspace was last looked up.
+    key_version: u64,
     /// Version of the route table in which the route was found.
     pub version: u64,
     pub arrived: Instant,
@@ -76,7 +77,8 @@
             suspended: suspension::total(),
             deadline: Deadline::after(now, timeout.min(route.timeout)),
             rank: table.rank(&service, &route, workspace.as_deref()),
-            key_version: table.workspaces().map(|_| table.version),
+            key_version: table.version,
+            is_key_taken: table.workspaces().is_some(),
             workspace,
             key,
             sent_attempts: 0,
@@ -88,18 +90,23 @@
     }
 
     /// Looks the call's key up again if the routes have changed; returns whether the call now belongs
-    /// to another workspace.
+    /// to another workspace. Removes the key from a call that arrived before the routes named
+    /// workspaces.
     ///
     /// # Errors
     ///
-    /// The key was taken away.
-    pub fn refresh_workspace(&mut self) -> Result<bool, Code> {
-        let Some(key_version) = self.key_version else { return Ok(false) };
+    /// The key was taken away, or the routes now name workspaces and the call carries no known key.
+    pub fn refresh_workspace(&mut self, call: &mut Call) -> Result<bool, Code> {
+        let key_version = self.key_version;
         let Some(table) = self.gateway.table().filter(|table| table.version != key_version) else {
             return Ok(false);
         };
+        if table.workspaces().is_some() && !self.is_key_taken {
+            self.key = take_key(&self.gateway, call);
+            self.is_key_taken = true;
+        }
         let workspace = find_workspace(&table, &self.route, self.key.as_ref())?;
-        self.key_version = Some(table.version);
+        self.key_version = table.version;
         let name = |plan: &Option<Rc<WorkspacePlan>>| plan.as_ref().map(|plan| plan.name.clone());
         let has_moved = name(&workspace) != name(&self.workspace);
         self.rank = table.rank(&self.service, &self.route, workspace.as_deref());
@@ -109,7 +116,7 @@
 
     /// Names the call's workspace to the target.
     pub fn set_workspace_header(&self, call: &mut Call) {
-        if self.key_version.is_none() {
+        if !self.is_key_taken {
             return;
         }
         let name = self.gateway.header_names.workspace;
