Accept the reply of a quota owner only from the address that was asked

A reply creates tokens at the entry that receives it. It was matched by the number of the request alone, so that a datagram of any sender could grant tokens if it named an open number.

--- a/src/process/gateway/quota/node_user.rs
+++ b/src/process/gateway/quota/node_user.rs
@@ -96,13 +96,18 @@
         }
     }
 
-    /// Takes the reply of an owner.
-    pub fn receive_reply(&mut self, reply: &Reply, now: Duration) {
+    /// Takes the reply of an owner. Only the entry that was asked may reply, since a reply creates
+    /// tokens here.
+    pub fn receive_reply(&mut self, reply: &Reply, from: SocketAddr, now: Duration) {
         let stamp = Stamp { stamp: reply.stamp, received: now };
-        if let Some(inquiry) = self.inquiries.remove(&reply.number) {
-            return self.order.record_response(inquiry.owner, stamp);
+        if let Some(owner) = self.inquiries.get(&reply.number).map(|inquiry| inquiry.owner) {
+            if self.order.address(owner) == Some(from) {
+                self.inquiries.remove(&reply.number);
+                self.order.record_response(owner, stamp);
+            }
+            return;
         }
-        let Some((index, owner, sent)) = self.close_exchange(reply.number) else { return };
+        let Some((index, owner, sent)) = self.close_exchange(reply.number, from) else { return };
         self.order.record_response(owner, stamp);
         match (reply.accepted, sent.had_stamp) {
             (true, _) => self.shards[index].rejections = 0,
@@ -121,11 +126,18 @@
         }
     }
 
-    /// Ends the exchange that has an open request with this number. A later reply to another request
-    /// of it is ignored.
-    fn close_exchange(&mut self, number: u64) -> Option<(usize, EntryIndex, SentRequest)> {
+    /// Ends the exchange that has an open request with this number to this address. A later reply to
+    /// another request of it is ignored.
+    fn close_exchange(
+        &mut self,
+        number: u64,
+        from: SocketAddr,
+    ) -> Option<(usize, EntryIndex, SentRequest)> {
         for (index, shard) in self.shards.iter_mut().enumerate() {
             let Some(exchange) = &shard.exchange else { continue };
+            if self.order.address(exchange.owner) != Some(from) {
+                continue;
+            }
             let found = exchange.sent.iter().find(|sent| sent.number == number).copied();
             if let Some(sent) = found {
                 let owner = exchange.owner;
--- a/src/process/gateway/quota/task.rs
+++ b/src/process/gateway/quota/task.rs
@@ -65,7 +65,7 @@
             Some(&REQUEST_FORMAT) => {
                 Request::decode(message).map(|request| node.receive_request(&request, from, now))
             }
-            _ => Reply::decode(message).map(|reply| node.receive_reply(&reply, now)),
+            _ => Reply::decode(message).map(|reply| node.receive_reply(&reply, from, now)),
         };
         if let Err(error) = decoded {
             node.count_dropped();
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -435,3 +435,39 @@
     let verdicts = node.take_verdicts();
     assert!(matches!(verdicts[..], [(decided, _)] if decided == ticket), "{verdicts:?}");
 }
+
+/// An entry whose workspaces belong to the first of ten other entries.
+fn user(entries: u32, workspaces: &[&str]) -> Node {
+    let mut node = Node::new(1);
+    let records: Vec<_> = (0..10).map(|number| record(number, 100 - number as u32)).collect();
+    node.set_entries(Some(entries), START);
+    node.set_list(&records[9], &records);
+    node.set_limits(workspaces.iter().map(|name| limit(name, QUOTA)), START);
+    node
+}
+
+/// The only request that a node has queued.
+fn queued_request(node: &mut Node) -> Request {
+    let sent = node.take_outbox();
+    assert_eq!(sent.len(), 1);
+    Request::decode(&sent[0].message).unwrap()
+}
+
+/// Guards against tokens from a forged reply: only the entry that was asked may grant some.
+#[test]
+fn a_reply_of_another_entry_than_the_asked_one_grants_nothing() {
+    let mut node = user(10, &["w"]);
+    assert!(matches!(node.admit(WorkspaceId::new("w"), START), Admission::Waiting(_)));
+    let number = queued_request(&mut node).number;
+    let grant = Some(Grant { granted: 5, wait: Duration::ZERO });
+    let grants = vec![Answered { workspace: WorkspaceId::new("w"), grant }];
+    let reply = Reply { number, stamp: 1, accepted: true, grants };
+
+    node.receive_reply(&reply, record(1, 1).address, START + ms(1));
+    let verdicts_of_other = node.take_verdicts();
+    node.receive_reply(&reply, record(0, 1).address, START + ms(2));
+    let verdicts_of_asked = node.take_verdicts();
+
+    assert!(verdicts_of_other.is_empty(), "{verdicts_of_other:?}");
+    assert!(matches!(verdicts_of_asked[..], [(_, Verdict::Admitted)]), "{verdicts_of_asked:?}");
+}
