Keep the order of waiting calls when the number of shards changes

The calls of the old shards were joined shard by shard, while their deadlines are searched as if sorted, so that a call could wait for longer than 250 ms.

--- a/src/process/gateway/quota/node.rs
+++ b/src/process/gateway/quota/node.rs
@@ -138,8 +138,10 @@
     /// Drops what has accrued and starts anew; waiting calls move to their shards.
     fn restart_shards(&mut self, now: Duration) {
         let count = shard_count(self.entries.unwrap_or_default());
-        let waiters: Vec<Waiter> =
+        let mut waiters: Vec<Waiter> =
             self.shards.iter_mut().flat_map(|shard| shard.waiters.drain(..)).collect();
+        // The waiting calls of a shard are in the order of their deadlines.
+        waiters.sort_by_key(|waiter| waiter.deadline);
         self.order.set_shards(count);
         self.shards = (0..count).map(|shard| Shard::new(now, now + self.phase(shard))).collect();
         for waiter in waiters {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -471,3 +471,24 @@
     assert!(verdicts_of_other.is_empty(), "{verdicts_of_other:?}");
     assert!(matches!(verdicts_of_asked[..], [(_, Verdict::Admitted)]), "{verdicts_of_asked:?}");
 }
+
+/// Guards against a call that waits for longer than 250 ms because a new number of shards puts a later
+/// call before it.
+#[test]
+fn calls_keep_their_order_when_the_number_of_shards_changes() {
+    let names: Vec<String> = (0..100).map(|number| format!("w-{number}")).collect();
+    let find = |shard: u32| {
+        let belongs = |id: &WorkspaceId| shard_of(*id, 2) == shard && shard_of(*id, 3) == 0;
+        names.iter().map(|name| WorkspaceId::new(name)).find(belongs).unwrap()
+    };
+    let mut node = user(64, &names.iter().map(String::as_str).collect::<Vec<_>>());
+    let Admission::Waiting(first) = node.admit(find(1), START) else { panic!("not asked") };
+    let later = node.admit(find(0), START + ms(100));
+    assert!(matches!(later, Admission::Waiting(_)));
+
+    node.set_entries(Some(128), START + ms(100));
+    node.poll(START + ms(250));
+
+    let verdicts = node.take_verdicts();
+    assert!(matches!(verdicts[..], [(decided, _)] if decided == first), "{verdicts:?}");
+}
