Let an entry that no other entry uses ask the next quota owner

Change: this entry counts as an owner only if others hand their refill over to it, or no other responds.

--- a/src/process/gateway/quota/node.rs
+++ b/src/process/gateway/quota/node.rs
@@ -168,7 +168,7 @@
             return self.decided(Verdict::Admitted);
         }
         let (limit, index) = (limit.clone(), self.shard_index(id));
-        if self.order.first(index as u32) == ShardOwner::Own {
+        if self.owner(index) == ShardOwner::Own {
             let verdict = self.use_own_share(index, id, now);
             return self.decided(verdict);
         }
@@ -270,6 +270,13 @@
         shard_of(id, self.shards.len() as u32) as usize
     }
 
+    /// The entry that is asked for the tokens of a shard.
+    pub(super) fn owner(&self, index: usize) -> ShardOwner {
+        let pool = self.pools.get(&self.shard_key(index));
+        let has_senders = pool.is_some_and(|pool| pool.sender_count() > 0);
+        self.order.first(index as u32, has_senders)
+    }
+
     pub(super) fn shard_key(&self, index: usize) -> ShardKey {
         ShardKey { index: index as u32, count: self.shards.len() as u32 }
     }
--- a/src/process/gateway/quota/node_owner.rs
+++ b/src/process/gateway/quota/node_owner.rs
@@ -65,7 +65,7 @@
         }
         let index = request.shard.index as usize;
         let is_own = request.shard.count as usize == self.shards.len()
-            && self.order.first(request.shard.index) == ShardOwner::Own;
+            && self.owner(index) == ShardOwner::Own;
         if is_own && !request.asks.is_empty() {
             self.deposit_own(index, now);
         }
--- a/src/process/gateway/quota/node_user.rs
+++ b/src/process/gateway/quota/node_user.rs
@@ -25,7 +25,7 @@
 impl Node {
     /// Asks the owner of a shard for the tokens of the waiting calls and for its stamp.
     pub(super) fn start_exchange(&mut self, index: usize, now: Duration) {
-        match self.order.first(index as u32) {
+        match self.owner(index) {
             ShardOwner::Own => self.decide_waiters(index, now),
             ShardOwner::Other(owner) => {
                 let exchange =
@@ -73,7 +73,7 @@
         if let Some(entry) = self.order.take_retry(index as u32, now) {
             self.inquire(index, entry, now);
         }
-        let ShardOwner::Other(owner) = self.order.first(index as u32) else {
+        let ShardOwner::Other(owner) = self.owner(index) else {
             return self.deposit_own(index, now);
         };
         let is_open = self.shards[index].exchange.is_some();
--- a/src/process/gateway/quota/owner_order.rs
+++ b/src/process/gateway/quota/owner_order.rs
@@ -64,8 +64,15 @@
 pub struct OwnerOrder {
     own: String,
     owners: Vec<Owner>,
-    /// For each shard, the entries before this one.
-    before: Vec<Vec<EntryIndex>>,
+    shards: Vec<ShardOrder>,
+}
+
+/// The other entries in the order of one shard.
+#[derive(Debug, Default)]
+struct ShardOrder {
+    /// Those before this entry, then those behind it.
+    others: Vec<EntryIndex>,
+    before_count: usize,
 }
 
 impl OwnerOrder {
@@ -97,26 +104,35 @@
 
     /// Sorts the entries for each of the shards.
     pub fn set_shards(&mut self, shards: u32) {
-        self.before = (0..shards).map(|shard| self.entries_before_own(shard)).collect();
+        self.shards = (0..shards).map(|shard| self.shard_order(shard)).collect();
     }
 
-    fn entries_before_own(&self, shard: u32) -> Vec<EntryIndex> {
+    fn shard_order(&self, shard: u32) -> ShardOrder {
         let rank = |index: &EntryIndex| {
             let EntryRecord { name, link_mbps, .. } = &self.owners[index.0].record;
             let hash = xxh3_64_with_seed(name.as_bytes(), u64::from(shard));
             (Reverse(*link_mbps), hash, name)
         };
-        let mut order: Vec<EntryIndex> = (0..self.owners.len()).map(EntryIndex).collect();
-        order.sort_by(|left, right| rank(left).cmp(&rank(right)));
-        let own = order.iter().position(|index| self.owners[index.0].record.name == self.own);
-        order.truncate(own.unwrap_or_default());
-        order
+        let mut others: Vec<EntryIndex> = (0..self.owners.len()).map(EntryIndex).collect();
+        others.sort_by(|left, right| rank(left).cmp(&rank(right)));
+        let own = others.iter().position(|index| self.owners[index.0].record.name == self.own);
+        let Some(before_count) = own else { return ShardOrder::default() };
+        others.remove(before_count);
+        ShardOrder { others, before_count }
     }
 
-    /// The first entry of a shard's order that is not left out; this one if there is no other.
-    pub fn first(&self, shard: u32) -> ShardOwner {
-        let mut before = self.before.get(shard as usize).into_iter().flatten();
-        before
+    /// The first entry of a shard's order that is not left out.
+    ///
+    /// This entry counts only if other entries hand their refill over to it, or if there is no other
+    /// entry. One that is not in the lists of the others yet would have no more than its own share,
+    /// although it is the first in its own list.
+    pub fn first(&self, shard: u32, has_senders: bool) -> ShardOwner {
+        let Some(ShardOrder { others, before_count }) = self.shards.get(shard as usize) else {
+            return ShardOwner::Own;
+        };
+        let asked = if has_senders { &others[..*before_count] } else { &others[..] };
+        asked
+            .iter()
             .find(|index| self.owners[index.0].failure.is_none())
             .map_or(ShardOwner::Own, |index| ShardOwner::Other(*index))
     }
@@ -124,7 +140,7 @@
     /// The first left-out entry ahead of the owner that may be asked again. Asking it postpones the
     /// next time.
     pub fn take_retry(&mut self, shard: u32, now: Duration) -> Option<EntryIndex> {
-        for index in self.before.get(shard as usize)? {
+        for index in &self.shards.get(shard as usize)?.others {
             let Some(failure) = &mut self.owners[index.0].failure else { return None };
             if failure.retry_at <= now {
                 failure.backoff = (failure.backoff * 2).min(MAX_BACKOFF);
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -158,7 +158,7 @@
     let owner_seen_by = |own: usize, shard: u32| {
         let mut order = OwnerOrder::default();
         order.set_list(&records[own], &records, 2);
-        match order.first(shard) {
+        match order.first(shard, true) {
             ShardOwner::Own => records[own].address,
             ShardOwner::Other(index) => order.address(index).unwrap(),
         }
@@ -178,17 +178,46 @@
     let records: Vec<_> = (0..3).map(|number| record(number, 100 - number as u32)).collect();
     let mut order = OwnerOrder::default();
     order.set_list(&records[2], &records, 1);
-    let ShardOwner::Other(first) = order.first(0) else { panic!("entry 0 comes first") };
+    let ShardOwner::Other(first) = order.first(0, true) else { panic!("entry 0 comes first") };
 
     order.record_failure(first, START);
-    assert_ne!(order.first(0), ShardOwner::Other(first));
+    assert_ne!(order.first(0, true), ShardOwner::Other(first));
     assert_eq!(order.take_retry(0, START + ms(999)), None);
     assert_eq!(order.take_retry(0, START + ms(1000)), Some(first));
     assert_eq!(order.take_retry(0, START + ms(2999)), None);
     assert_eq!(order.take_retry(0, START + ms(3000)), Some(first));
 
     order.record_response(first, Stamp { stamp: 1, received: START + ms(3001) });
-    assert_eq!(order.first(0), ShardOwner::Other(first));
+    assert_eq!(order.first(0, true), ShardOwner::Other(first));
+}
+
+/// Guards against an entry that decides by its own share alone, as it is the first in its list while
+/// the lists of the others do not name it yet, and against one that asks entries which are gone.
+#[test]
+fn an_entry_without_senders_asks_the_next_one() {
+    let records: Vec<_> = (0..3).map(|number| record(number, 100 - number as u32)).collect();
+    let mut order = OwnerOrder::default();
+    order.set_list(&records[0], &records, 1);
+
+    let with_senders = order.first(0, true);
+    let asked: Vec<ShardOwner> = (0..3)
+        .map(|_| {
+            let owner = order.first(0, false);
+            if let ShardOwner::Other(index) = owner {
+                order.record_failure(index, START);
+            }
+            owner
+        })
+        .collect();
+
+    let address = |owner: &ShardOwner| match owner {
+        ShardOwner::Own => records[0].address,
+        ShardOwner::Other(index) => order.address(*index).unwrap(),
+    };
+    assert_eq!(with_senders, ShardOwner::Own);
+    let addresses: Vec<_> = asked.iter().map(address).collect();
+    assert_eq!(addresses, [1, 2, 0].map(|number: usize| records[number].address));
+    assert!(order.take_retry(0, START + ms(1000)).is_some());
 }
 
 /// Guards against shards that none or all workspaces belong to.
