--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -2,87 +2,144 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::call::Call;
 use crate::fixture::process::Caller;
-use crate::fixture::{field, status};
+use crate::fixture::{request, LASTING_KEY, SAFE_PREFIX};
+use crate::key_book::{KeyBook, SMALL_KEY};
 
-const CALLER_COUNT: u64 = 6;
 /// Part of the calls that reuse the connection of the caller's last call.
 const REUSE_RATIO: f64 = 0.7;
+/// Most calls that are sent ahead on one connection.
+const MAX_PIPELINED_CALLS: usize = 8;
 
-/// A call and its result at the caller.
-#[derive(Clone, Debug)]
-pub struct Call {
-    pub id: String,
-    /// Address of the gateway.
-    pub gateway: SocketAddr,
-    pub sent: Instant,
-    pub ended: Instant,
-    /// Status of the response; `None` if the connection ended without one.
-    pub status: Option<u16>,
-    /// The gateway's result code, if the response has one.
-    pub code: Option<String>,
-    /// Whether the response carried the identifier of another call.
-    pub misdirected: bool,
+/// What a caller sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallerKind {
+    /// One call at a time, with the key that all versions hold.
+    Lasting,
+    /// One call at a time, with keys that come and go.
+    Changing,
+    /// One call at a time, with the key of the workspace that has a quota.
+    Small,
+    /// Several safe calls ahead, with the key that all versions hold.
+    Pipelined,
 }
 
+/// The kinds, with the number of callers of each.
+const CALLER_COUNTS: [(CallerKind, u64); 4] = [
+    (CallerKind::Lasting, 6),
+    (CallerKind::Changing, 3),
+    (CallerKind::Small, 3),
+    (CallerKind::Pipelined, 2),
+];
+
 /// The callers' threads.
 pub struct Callers {
     threads: Vec<JoinHandle<Vec<Call>>>,
 }
 
+/// One caller, and what it shares with the others.
+struct Sender {
+    rng: SmallRng,
+    kind: CallerKind,
+    /// Begins the identifiers of the calls.
+    name: String,
+    gateways: Vec<SocketAddr>,
+    keys: Arc<Mutex<KeyBook>>,
+    calls: Vec<Call>,
+}
+
 impl Callers {
     /// Starts the callers.
-    pub fn start(seed: u64, gateways: Vec<SocketAddr>, stop: Arc<AtomicBool>) -> Self {
-        let start = |number| {
-            let (gateways, stop) = (gateways.clone(), stop.clone());
-            thread::spawn(move || send_calls(seed, number, &gateways, &stop))
+    pub fn start(
+        seed: u64,
+        gateways: &[SocketAddr],
+        keys: &Arc<Mutex<KeyBook>>,
+        stop: &Arc<AtomicBool>,
+    ) -> Self {
+        let kinds =
+            CALLER_COUNTS.into_iter().flat_map(|(kind, count)| (0..count).map(move |_| kind));
+        let start = |(number, kind)| {
+            let mut sender = Sender {
+                rng: SmallRng::seed_from_u64(seed * 1000 + number),
+                kind,
+                name: format!("s{seed}-c{number}"),
+                gateways: gateways.to_vec(),
+                keys: keys.clone(),
+                calls: Vec::new(),
+            };
+            let stop = stop.clone();
+            thread::spawn(move || {
+                sender.send_calls(&stop);
+                sender.calls
+            })
         };
-        Self { threads: (0..CALLER_COUNT).map(start).collect() }
+        Self { threads: (0..).zip(kinds).map(start).collect() }
     }
 
     /// Waits for the callers to stop and returns all calls.
     pub fn join(self) -> Vec<Call> {
-        self.threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
+        let join = |thread: JoinHandle<_>| thread.join().expect("callers do not panic");
+        self.threads.into_iter().flat_map(join).collect()
     }
 }
 
-fn send_calls(seed: u64, number: u64, gateways: &[SocketAddr], stop: &AtomicBool) -> Vec<Call> {
-    let mut rng = SmallRng::seed_from_u64(seed * 1000 + number);
-    let mut calls = Vec::new();
-    let mut idle: Option<(SocketAddr, Caller)> = None;
-    while !stop.load(Ordering::SeqCst) {
-        thread::sleep(Duration::from_millis(rng.random_range(2..30)));
-        let connection = idle.take().filter(|_| rng.random_bool(REUSE_RATIO));
-        let gateway = gateways[rng.random_range(0..gateways.len())];
-        let Some((gateway, mut caller)) =
-            connection.or_else(|| Some((gateway, Caller::connect(gateway)?)))
-        else {
-            continue;
+impl Sender {
+    fn send_calls(&mut self, stop: &AtomicBool) {
+        let mut idle: Option<(SocketAddr, Caller)> = None;
+        while !stop.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(self.rng.random_range(2..30)));
+            let connection = idle.take().filter(|_| self.rng.random_bool(REUSE_RATIO));
+            let gateway = self.gateways[self.rng.random_range(0..self.gateways.len())];
+            let Some((gateway, caller)) =
+                connection.or_else(|| Some((gateway, Caller::connect(gateway)?)))
+            else {
+                continue;
+            };
+            idle = self.send_batch(gateway, caller);
+        }
+    }
+
+    /// Sends one call, or several ahead, and reads the responses in the order of the calls. Returns
+    /// the connection if it can carry further calls.
+    fn send_batch(
+        &mut self,
+        gateway: SocketAddr,
+        mut caller: Caller,
+    ) -> Option<(SocketAddr, Caller)> {
+        let (path, count) = match self.kind {
+            CallerKind::Pipelined => {
+                let path = format!("{SAFE_PREFIX}x");
+                (path, self.rng.random_range(2..=MAX_PIPELINED_CALLS))
+            }
+            CallerKind::Lasting | CallerKind::Changing | CallerKind::Small => ("/a/x".into(), 1),
+        };
+        let key = match self.kind {
+            CallerKind::Lasting | CallerKind::Pipelined => LASTING_KEY.into(),
+            CallerKind::Changing => {
+                self.keys.lock().expect("holders of the keys do not panic").pick(&mut self.rng)
+            }
+            CallerKind::Small => SMALL_KEY.into(),
         };
-        let id = format!("s{seed}-c{number}-{}", calls.len());
+        let first = self.calls.len();
+        let ids: Vec<String> =
+            (first..first + count).map(|number| format!("{}-{number}", self.name)).collect();
+        let requests: Vec<String> = ids.iter().map(|id| request(&path, id, &key)).collect();
         let sent = Instant::now();
-        caller.send_request(&id);
-        let response = caller.read_response();
-        let head = response.as_ref().map(|(head, _)| head.as_str());
-        calls.push(Call {
-            gateway,
-            sent,
-            ended: Instant::now(),
-            status: head.map(status),
-            code: head.and_then(|head| field(head, "cornellink-code")).map(Into::into),
-            misdirected: head
-                .is_some_and(|head| field(head, "x-attempt-id").is_some_and(|named| named != id)),
-            id,
-        });
-        let is_reusable = head.is_some_and(|head| field(head, "connection") != Some("close"));
-        idle = is_reusable.then_some((gateway, caller));
+        caller.send(&requests.concat());
+        let mut is_reusable = true;
+        for id in ids {
+            let (call, is_open) = Call::read(&mut caller, gateway, (&path, id, &key), sent);
+            is_reusable &= is_open;
+            self.calls.push(call);
+        }
+        is_reusable.then_some((gateway, caller))
     }
-    calls
 }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -2,22 +2,30 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::callers::Call;
+use crate::call::Call;
 use crate::fixture::back_end::BackEnd;
 use crate::fixture::process::Gateway;
 use crate::fixture::store::{ResponseMode, StandInStore};
-use crate::fixture::{config, free_address, wait_until};
+use crate::fixture::{free_address, wait_until};
+use crate::interval::Interval;
+use crate::key_book::KeyBook;
 use crate::stops;
+use crate::trials::{Evacuation, Trial};
 
 const GATEWAY_COUNT: usize = 4;
 /// Number of back ends at the start; each drain adds one.
-const BACK_END_COUNT: usize = 5;
+const BACK_END_COUNT: usize = 6;
+/// Zones of the gateways and back ends, in turn.
+pub const ZONES: [&str; 2] = ["z1", "z2"];
+/// Probability that a new version of the configuration arrives while the store is out of service.
+const OUTAGE_CHANGE_RATIO: f64 = 0.5;
 
 /// A back end loses one response in this many.
 const RESPONSE_LOSS_INTERVAL: usize = 40;
@@ -39,10 +47,9 @@
     StoreSilent,
     Forget,
     Drain,
-    Change,
 }
 
-const ALL_FAULTS: [Fault; 10] = [
+const ALL_FAULTS: [Fault; 9] = [
     Fault::Terminate,
     Fault::Stop,
     Fault::Kill,
@@ -52,30 +59,23 @@
     Fault::StoreSilent,
     Fault::Forget,
     Fault::Drain,
-    Fault::Change,
 ];
 
-/// An interval during which a gateway or the store was out of service.
-#[derive(Clone, Copy, Debug)]
-pub struct Interval {
-    pub from: Instant,
-    pub to: Instant,
-}
-
-impl Interval {
-    /// Whether the interval overlaps the one from `from` to `to`.
-    pub fn overlaps(&self, from: Instant, to: Instant) -> bool {
-        self.from <= to && from <= self.to
-    }
-}
-
 /// The processes under test, and the faults that were injected.
 pub struct Deployment {
-    rng: SmallRng,
-    store: StandInStore,
+    pub rng: SmallRng,
+    pub store: StandInStore,
     gateways: Vec<Gateway>,
     pub back_ends: Vec<BackEnd>,
-    version: u64,
+    /// Number of the newest registration.
+    sequence: u64,
+    pub keys: Arc<Mutex<KeyBook>>,
+    /// Trials that are still to be started before all have been started equally often.
+    pub trials: Vec<Trial>,
+    /// The evacuations, oldest first.
+    pub evacuations: Vec<Evacuation>,
+    /// Indexes of the back ends that came back cold, with their warm-ups.
+    pub cold_returns: Vec<(usize, Interval)>,
     /// Kills and pauses of gateways, with the gateway's address.
     pub gateway_outages: Vec<(SocketAddr, Interval)>,
     /// Intervals in which the store did not serve.
@@ -84,20 +84,26 @@
     pub drains: Vec<(usize, Instant)>,
     /// Calls to gateways during their planned stops.
     pub calls: Vec<Call>,
-    counts: BTreeMap<Fault, u32>,
+    /// Faults and trials, with the number of steps that had them.
+    pub counts: BTreeMap<String, u32>,
 }
 
 impl Deployment {
     /// Starts a deployment and waits until it serves.
     pub fn start(seed: u64) -> Self {
         let store = StandInStore::start();
-        store.put("keyed.op", "config", &config(1, 2000));
+        let keys = KeyBook::new();
+        store.put("keyed.op", "config", &keys.config());
         let mut deployment = Self {
             rng: SmallRng::seed_from_u64(seed),
             store,
             gateways: Vec::new(),
             back_ends: Vec::new(),
-            version: 1,
+            sequence: 0,
+            keys: Arc::new(Mutex::new(keys)),
+            trials: Vec::new(),
+            evacuations: Vec::new(),
+            cold_returns: Vec::new(),
             gateway_outages: Vec::new(),
             store_outages: Vec::new(),
             drains: Vec::new(),
@@ -110,8 +116,9 @@
         let share_addresses: Vec<SocketAddr> = (0..GATEWAY_COUNT).map(|_| free_address()).collect();
         for (number, share) in share_addresses.iter().enumerate() {
             let name = format!("soak-{seed}-{number}");
+            let zone = ZONES[number % ZONES.len()];
             let gateway =
-                Gateway::start_at(&name, *share, &deployment.store, &share_addresses[..2]);
+                Gateway::start_at(&name, zone, *share, &deployment.store, &share_addresses[..2]);
             deployment.gateways.push(gateway);
         }
         deployment.restore_gateways();
@@ -123,16 +130,22 @@
         self.gateways.iter().map(|gateway| gateway.listen).collect()
     }
 
-    /// The injected faults, with the count of each.
+    /// The injected faults and the trials, with the count of each.
     pub fn fault_summary(&self) -> String {
-        let counts = self.counts.iter().map(|(fault, count)| format!("{fault:?} {count}"));
+        let counts = self.counts.iter().map(|(name, count)| format!("{name} {count}"));
         counts.collect::<Vec<_>>().join(", ")
     }
 
-    /// Injects one random fault.
-    pub fn inject_fault(&mut self) {
+    /// Starts a trial and injects one random fault while it runs.
+    pub fn play_step(&mut self) {
+        self.start_trial();
+        self.inject_fault();
+        self.end_due_evacuation();
+    }
+
+    fn inject_fault(&mut self) {
         let fault = ALL_FAULTS[self.rng.random_range(0..ALL_FAULTS.len())];
-        *self.counts.entry(fault).or_default() += 1;
+        self.count(format!("{fault:?}"));
         let duration = Duration::from_millis(self.rng.random_range(100..900));
         let number = self.rng.random_range(0..self.gateways.len());
         match fault {
@@ -145,10 +158,6 @@
             Fault::StoreSilent => self.interrupt_store(ResponseMode::Hang, duration * 2),
             Fault::Forget => self.store.drop_history(),
             Fault::Drain => self.drain(),
-            Fault::Change => {
-                self.version += 1;
-                self.store.put("keyed.op", "config", &config(self.version, 2000));
-            }
         }
         thread::sleep(Duration::from_millis(self.rng.random_range(50..600)));
     }
@@ -165,10 +174,29 @@
 
     fn add_back_end(&mut self) {
         let service_time = Duration::from_millis(self.rng.random_range(5..60));
-        let id = format!("i-{}", self.back_ends.len());
-        let back_end = BackEnd::start_lossy(&id, service_time, RESPONSE_LOSS_INTERVAL);
-        self.store.put("keyed.servers", &back_end.id, &back_end.registration("ready", 1));
+        let number = self.back_ends.len();
+        let (id, zone) = (format!("i-{number}"), ZONES[number % ZONES.len()]);
+        let back_end = BackEnd::start_lossy(&id, zone, service_time, RESPONSE_LOSS_INTERVAL);
         self.back_ends.push(back_end);
+        self.register(number, "ready");
+    }
+
+    /// Writes a back end's entry to the store.
+    pub fn register(&mut self, number: usize, state: &str) {
+        self.sequence += 1;
+        let back_end = &self.back_ends[number];
+        let entry = back_end.registration(state, self.sequence);
+        self.store.put("keyed.servers", &back_end.id, &entry);
+    }
+
+    /// Whether a back end has not been drained.
+    pub fn is_ready(&self, number: usize) -> bool {
+        !self.drains.iter().any(|(drained, _)| *drained == number)
+    }
+
+    /// Counts a fault or trial.
+    pub fn count(&mut self, name: String) {
+        *self.counts.entry(name).or_default() += 1;
     }
 
     /// Shuts a gateway down with SIGTERM and starts it again.
@@ -223,7 +251,12 @@
     fn interrupt_store(&mut self, mode: ResponseMode, duration: Duration) {
         let from = Instant::now();
         self.store.set_response_mode(mode);
-        thread::sleep(duration);
+        thread::sleep(duration / 2);
+        if self.rng.random_bool(OUTAGE_CHANGE_RATIO) {
+            self.count("KeysInOutage".into());
+            self.change_keys();
+        }
+        thread::sleep(duration / 2);
         self.store.set_response_mode(ResponseMode::Normal);
         self.store_outages.push(Interval { from, to: Instant::now() });
     }
@@ -231,12 +264,10 @@
     /// Registers another back end and drains one that does not drain yet.
     fn drain(&mut self) {
         self.add_back_end();
-        let draining: Vec<usize> = self.drains.iter().map(|(number, _)| *number).collect();
-        let candidate = (0..self.back_ends.len() - 1).find(|number| !draining.contains(number));
+        let candidate = (0..self.back_ends.len() - 1).find(|number| self.is_ready(*number));
         let Some(number) = candidate else { return };
-        let back_end = &self.back_ends[number];
         thread::sleep(CALM_BEFORE_DRAIN);
-        self.store.put("keyed.servers", &back_end.id, &back_end.registration("draining", 2));
+        self.register(number, "draining");
         self.drains.push((number, Instant::now()));
         thread::sleep(CALM_AFTER_DRAIN);
     }
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,12 +1,17 @@
 //! Injects faults into a deployment of gateway processes on loopback and checks, from the records
 //! of callers and back ends, that the guarantees of the load balancer hold.
 
+mod call;
 mod callers;
 mod checks;
 mod faults;
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
+mod interval;
+mod key_book;
 mod stops;
+mod trials;
+mod workspace_checks;
 
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -53,20 +58,24 @@
 fn run_seed(seed: u64, steps: u64) -> Vec<String> {
     let mut deployment = Deployment::start(seed);
     let stop = Arc::new(AtomicBool::new(false));
-    let callers = Callers::start(seed, deployment.gateway_addresses(), stop.clone());
+    let callers = Callers::start(seed, &deployment.gateway_addresses(), &deployment.keys, &stop);
     deployment.stop_in_stages();
     for _ in 0..steps {
-        deployment.inject_fault();
+        deployment.play_step();
     }
     deployment.restore_gateways();
+    deployment.finish_trials();
     thread::sleep(RECOVERY_DELAY);
     stop.store(true, Ordering::SeqCst);
     let calls = callers.join();
     let violations = checks::find_violations(&calls, &deployment);
-    let served = calls.iter().filter(|call| call.status == Some(200)).count();
+    let count = |status| calls.iter().filter(|call| call.status == Some(status)).count();
     println!(
-        "seed {seed}: {} calls, {served} served, faults: {}",
+        "seed {seed}: {} calls, {} served, {} without a key, {} beyond the quota, faults: {}",
         calls.len(),
+        count(200),
+        count(401),
+        count(429),
         deployment.fault_summary()
     );
     violations
--- a/soak/src/stops.rs
+++ b/soak/src/stops.rs
@@ -6,10 +6,11 @@
 use rand::rngs::SmallRng;
 use rand::Rng;
 
-use crate::callers::Call;
+use crate::call::Call;
 use crate::fixture::arrival::{sleep_until, Arrival};
 use crate::fixture::back_end::LONG_SUFFIX;
 use crate::fixture::process::{Caller, Gateway};
+use crate::fixture::LASTING_KEY;
 
 /// Requests of each way of arrival at one stop.
 const REQUESTS: u64 = 8;
@@ -34,7 +35,9 @@
             let sent = start + after;
             let status = arrival.send(&id, kept, listen, sent);
             let (gateway, ended) = (listen, Instant::now());
-            Call { id, gateway, sent, ended, status, code: None, misdirected: false }
+            let key = LASTING_KEY.into();
+            let (code, is_safe, misdirected) = (None, false, false);
+            Call { id, key, gateway, sent, ended, status, code, is_safe, misdirected }
         })
     });
     let threads: Vec<_> = threads.collect();
