--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -12,7 +12,7 @@
 use crate::call::Call;
 use crate::fixture::process::Caller;
 use crate::fixture::{request, LASTING_KEY, SAFE_PREFIX};
-use crate::key_book::{KeyBook, SMALL_KEY};
+use crate::key_book::{KeyBook, SMALL_KEY, WAITING_PREFIX};
 
 /// Part of the calls that reuse the connection of the caller's last call.
 const REUSE_RATIO: f64 = 0.7;
@@ -26,6 +26,8 @@
     Lasting,
     /// One call at a time, with keys that come and go.
     Changing,
+    /// As `Changing`, with calls that wait for a cold back end.
+    Waiting,
     /// One call at a time, with the key of the workspace that has a quota.
     Small,
     /// Several safe calls ahead, with the key that all versions hold.
@@ -33,9 +35,10 @@
 }
 
 /// The kinds, with the number of callers of each.
-const CALLER_COUNTS: [(CallerKind, u64); 4] = [
+const CALLER_COUNTS: [(CallerKind, u64); 5] = [
     (CallerKind::Lasting, 6),
     (CallerKind::Changing, 3),
+    (CallerKind::Waiting, 10),
     (CallerKind::Small, 3),
     (CallerKind::Pipelined, 2),
 ];
@@ -119,11 +122,12 @@
                 let path = format!("{SAFE_PREFIX}x");
                 (path, self.rng.random_range(2..=MAX_PIPELINED_CALLS))
             }
+            CallerKind::Waiting => (format!("{WAITING_PREFIX}x"), 1),
             CallerKind::Lasting | CallerKind::Changing | CallerKind::Small => ("/a/x".into(), 1),
         };
         let key = match self.kind {
             CallerKind::Lasting | CallerKind::Pipelined => LASTING_KEY.into(),
-            CallerKind::Changing => {
+            CallerKind::Changing | CallerKind::Waiting => {
                 self.keys.lock().expect("holders of the keys do not panic").pick(&mut self.rng)
             }
             CallerKind::Small => SMALL_KEY.into(),
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -9,15 +9,16 @@
 use crate::fixture::run::Run;
 use crate::fixture::LASTING_KEY;
 use crate::interval::stretched_end;
-use crate::key_book::{SMALL_KEY, WARMUP_PER_S};
+use crate::key_book::{COLD_SERVICE, COLD_SERVICE_PER_S, SMALL_KEY, WARMUP_PER_S};
 use crate::trials::EVACUATION_BOUND;
 use crate::workspace_checks;
 
 /// How long a draining back end may still receive calls, if no other fault is in force.
 const MAX_DRAIN_DELAY: Duration = Duration::from_secs(2);
 
-/// Most requests to a cold back end in any second.
-const MAX_COLD_REQUESTS: f64 = WARMUP_PER_S * 1.5 + 8.0;
+/// Factor and addition by which the requests of a second may exceed what a cold back end bears.
+const WARMUP_OVERAGE: f64 = 1.5;
+const WARMUP_SLACK: f64 = 8.0;
 const COLD_WINDOW: Duration = Duration::from_secs(1);
 
 /// Returns a line for each violation of a guarantee.
@@ -130,7 +131,11 @@
         let is_cold = |run: &Run| run.at >= warmup.from && run.at <= warmup.to;
         let runs: Vec<Run> = back_end.runs().into_iter().filter(is_cold).collect();
         let most = max_in_window(&runs, calls, COLD_WINDOW);
-        if most as f64 > MAX_COLD_REQUESTS {
+        let rate = match &*back_end.service {
+            COLD_SERVICE => COLD_SERVICE_PER_S,
+            _ => WARMUP_PER_S,
+        };
+        if most as f64 > rate * WARMUP_OVERAGE + WARMUP_SLACK {
             let id = &back_end.id;
             violations.push(format!("cold back end `{id}` got {most} requests in a second"));
         }
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -13,15 +13,18 @@
 use crate::fixture::back_end::BackEnd;
 use crate::fixture::process::Gateway;
 use crate::fixture::store::{ResponseMode, StandInStore};
-use crate::fixture::{free_address, wait_until};
+use crate::fixture::{free_address, wait_until, DEFAULT_SERVICE};
 use crate::interval::Interval;
-use crate::key_book::KeyBook;
+use crate::key_book::{KeyBook, COLD_SERVICE};
 use crate::stops;
 use crate::trials::{Evacuation, Trial};
 
 const GATEWAY_COUNT: usize = 4;
 /// Number of back ends at the start; each drain adds one.
 const BACK_END_COUNT: usize = 6;
+/// Number of back ends of the service whose back ends stay cold, and their warm-up.
+const COLD_BACK_END_COUNT: usize = 2;
+const LONG_WARMUP: Duration = Duration::from_secs(60 * 60);
 /// Zones of the gateways and back ends, in turn.
 pub const ZONES: [&str; 2] = ["z1", "z2"];
 /// Probability that a new version of the configuration arrives while the store is out of service.
@@ -110,8 +113,12 @@
             calls: Vec::new(),
             counts: BTreeMap::new(),
         };
+        for _ in 0..COLD_BACK_END_COUNT {
+            let number = deployment.add_back_end(COLD_SERVICE);
+            deployment.warm_up(number, LONG_WARMUP);
+        }
         for _ in 0..BACK_END_COUNT {
-            deployment.add_back_end();
+            deployment.add_back_end(DEFAULT_SERVICE);
         }
         let share_addresses: Vec<SocketAddr> = (0..GATEWAY_COUNT).map(|_| free_address()).collect();
         for (number, share) in share_addresses.iter().enumerate() {
@@ -172,13 +179,15 @@
         wait_until("all gateways are ready", || self.gateways.iter().all(Gateway::is_ready));
     }
 
-    fn add_back_end(&mut self) {
+    fn add_back_end(&mut self, service: &str) -> usize {
         let service_time = Duration::from_millis(self.rng.random_range(5..60));
         let number = self.back_ends.len();
         let (id, zone) = (format!("i-{number}"), ZONES[number % ZONES.len()]);
-        let back_end = BackEnd::start_lossy(&id, zone, service_time, RESPONSE_LOSS_INTERVAL);
+        let mut back_end = BackEnd::start_lossy(&id, zone, service_time, RESPONSE_LOSS_INTERVAL);
+        back_end.service = service.into();
         self.back_ends.push(back_end);
         self.register(number, "ready");
+        number
     }
 
     /// Writes a back end's entry to the store.
@@ -189,9 +198,10 @@
         self.store.put("keyed.servers", &back_end.id, &entry);
     }
 
-    /// Whether a back end has not been drained.
+    /// Whether a back end of the default service has not been drained.
     pub fn is_ready(&self, number: usize) -> bool {
-        !self.drains.iter().any(|(drained, _)| *drained == number)
+        self.back_ends[number].service == DEFAULT_SERVICE
+            && !self.drains.iter().any(|(drained, _)| *drained == number)
     }
 
     /// Counts a fault or trial.
@@ -263,7 +273,7 @@
 
     /// Registers another back end and drains one that does not drain yet.
     fn drain(&mut self) {
-        self.add_back_end();
+        self.add_back_end(DEFAULT_SERVICE);
         let candidate = (0..self.back_ends.len() - 1).find(|number| self.is_ready(*number));
         let Some(number) = candidate else { return };
         thread::sleep(CALM_BEFORE_DRAIN);
--- a/soak/src/key_book.rs
+++ b/soak/src/key_book.rs
@@ -25,8 +25,16 @@
 
 /// Calls per second that a cold back end bears.
 pub const WARMUP_PER_S: f64 = 6.1;
-/// Time limit of a route in ms.
+/// The service whose back ends stay cold, and the calls per second that one of them bears. Its calls
+/// wait longer than a change of the keys may take to apply.
+pub const COLD_SERVICE: &str = "s2";
+pub const COLD_SERVICE_PER_S: f64 = 1.0;
+/// Begins the paths of its requests.
+pub const WAITING_PREFIX: &str = "/w/";
+/// Time limits and latency objective in ms; a call waits for a back end for 0.3 of its objective.
 const ROUTE_TIMEOUT_MS: u64 = 2000;
+const WAITING_TIMEOUT_MS: u64 = 5000;
+const WAITING_OBJECTIVE_MS: u64 = 20_000;
 
 /// A workspace's possession of a key.
 #[derive(Clone, Debug)]
@@ -125,12 +133,24 @@
         let mut config: Value = serde_json::from_str(&text).expect("the configuration is JSON");
         let mut safe = config["routes"]["rows"][0].clone();
         (safe[0], safe[2], safe[3]) = (json!("safe"), json!(SAFE_PREFIX), json!("safe"));
+        let waiting = json!([
+            "waiting",
+            safe[1],
+            WAITING_PREFIX,
+            "unsafe",
+            WAITING_TIMEOUT_MS,
+            WAITING_OBJECTIVE_MS,
+            1,
+            2,
+            COLD_SERVICE
+        ]);
         let routes = config["routes"]["rows"].as_array_mut().expect("rows are an array");
-        routes.push(safe);
+        routes.extend([safe, waiting]);
         config["services"] = json!({
             "columns": ["name", "health_check_path", "max_connections", "protocol", "warmup_s",
                 "warmup_per_s"],
-            "rows": [["s1", "/health", 200, "h1", 5, WARMUP_PER_S]],
+            "rows": [["s1", "/health", 200, "h1", 5, WARMUP_PER_S],
+                [COLD_SERVICE, "/health", 200, "h1", 5, COLD_SERVICE_PER_S]],
         });
         config["tenants"] = json!({
             "columns": ["name", "api_keys", "priority", "rate_per_s", "burst"], "rows": rows,
--- a/soak/src/trials.rs
+++ b/soak/src/trials.rs
@@ -7,6 +7,8 @@
 
 use crate::faults::{Deployment, ZONES};
 use crate::fixture::arrival::sleep_until;
+use crate::fixture::back_end::BackEnd;
+use crate::fixture::DEFAULT_SERVICE;
 use crate::interval::{stretched_end, Interval};
 
 /// Time for which a zone is evacuated at least, longer than `EVACUATION_BOUND`.
@@ -68,7 +70,10 @@
             return;
         }
         self.count(format!("{:?}", Trial::Evacuation));
-        let zone = ZONES[self.rng.random_range(0..ZONES.len())];
+        // Requests have to return to a zone before it is evacuated again.
+        let last = self.evacuations.last().map(|evacuation| evacuation.zone);
+        let other = ZONES.into_iter().find(|zone| last.is_some_and(|last| last != *zone));
+        let zone = other.unwrap_or(ZONES[self.rng.random_range(0..ZONES.len())]);
         self.store.put("keyed.op", &format!("evacuate/{zone}"), "{}");
         self.evacuations.push(Evacuation { zone, accepted: Instant::now(), ended: None });
     }
@@ -96,8 +101,14 @@
         }
         self.back_ends[number].go_down();
         thread::sleep(Duration::from_millis(self.rng.random_range(200..800)));
+        let warmup = Duration::from_millis(self.rng.random_range(3000..7000));
+        self.warm_up(number, warmup);
+    }
+
+    /// Lets a back end accept requests and be cold for some time.
+    pub fn warm_up(&mut self, number: usize, warmup: Duration) {
         let from = Instant::now();
-        let to = from + Duration::from_millis(self.rng.random_range(3000..7000));
+        let to = from + warmup;
         self.back_ends[number].return_cold(to);
         self.register(number, "ready");
         self.cold_returns.push((number, Interval { from, to }));
@@ -121,7 +132,10 @@
     pub fn has_returned(&self, evacuation: &Evacuation) -> bool {
         let Some(ended) = evacuation.ended else { return false };
         let end = self.return_end(evacuation);
-        let in_zone = self.back_ends.iter().filter(|back_end| back_end.zone == evacuation.zone);
+        let is_used = |back_end: &&BackEnd| {
+            back_end.zone == evacuation.zone && back_end.service == DEFAULT_SERVICE
+        };
+        let in_zone = self.back_ends.iter().filter(is_used);
         in_zone.flat_map(|back_end| back_end.runs()).any(|run| run.at > ended && run.at <= end)
     }
 
