--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -11,8 +11,8 @@
 
 use crate::call::Call;
 use crate::fixture::process::Caller;
-use crate::fixture::{request, LASTING_KEY, SAFE_PREFIX};
-use crate::key_book::{KeyBook, SMALL_KEY, WAITING_PREFIX};
+use crate::fixture::{request, DEADLINE, LASTING_KEY, SAFE_PREFIX};
+use crate::key_book::{KeyBook, SMALL_KEY, WAITING_PREFIX, WAITING_TIMEOUT};
 
 /// Part of the calls that reuse the connection of the caller's last call.
 const REUSE_RATIO: f64 = 0.7;
@@ -38,7 +38,7 @@
 const CALLER_COUNTS: [(CallerKind, u64); 5] = [
     (CallerKind::Lasting, 6),
     (CallerKind::Changing, 3),
-    (CallerKind::Waiting, 10),
+    (CallerKind::Waiting, 24),
     (CallerKind::Small, 3),
     (CallerKind::Pipelined, 2),
 ];
@@ -117,6 +117,10 @@
         gateway: SocketAddr,
         mut caller: Caller,
     ) -> Option<(SocketAddr, Caller)> {
+        let deadline = match self.kind {
+            CallerKind::Waiting => WAITING_TIMEOUT,
+            _ => DEADLINE,
+        };
         let (path, count) = match self.kind {
             CallerKind::Pipelined => {
                 let path = format!("{SAFE_PREFIX}x");
@@ -135,7 +139,8 @@
         let first = self.calls.len();
         let ids: Vec<String> =
             (first..first + count).map(|number| format!("{}-{number}", self.name)).collect();
-        let requests: Vec<String> = ids.iter().map(|id| request(&path, id, &key)).collect();
+        let requests: Vec<String> =
+            ids.iter().map(|id| request(&path, id, &key, deadline)).collect();
         let sent = Instant::now();
         caller.send(&requests.concat());
         let mut is_reusable = true;
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -23,7 +23,7 @@
 /// Number of back ends at the start; each drain adds one.
 const BACK_END_COUNT: usize = 6;
 /// Number of back ends of the service whose back ends stay cold, and their warm-up.
-const COLD_BACK_END_COUNT: usize = 2;
+const COLD_BACK_END_COUNT: usize = 4;
 const LONG_WARMUP: Duration = Duration::from_secs(60 * 60);
 /// Zones of the gateways and back ends, in turn.
 pub const ZONES: [&str; 2] = ["z1", "z2"];
@@ -263,8 +263,7 @@
         self.store.set_response_mode(mode);
         thread::sleep(duration / 2);
         if self.rng.random_bool(OUTAGE_CHANGE_RATIO) {
-            self.count("KeysInOutage".into());
-            self.change_keys();
+            self.change_keys("KeysInOutage");
         }
         thread::sleep(duration / 2);
         self.store.set_response_mode(ResponseMode::Normal);
--- a/soak/src/key_book.rs
+++ b/soak/src/key_book.rs
@@ -1,7 +1,7 @@
 //! The workspaces with their keys in each version of the configuration.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::Rng;
@@ -31,9 +31,10 @@
 pub const COLD_SERVICE_PER_S: f64 = 1.0;
 /// Begins the paths of its requests.
 pub const WAITING_PREFIX: &str = "/w/";
-/// Time limits and latency objective in ms; a call waits for a back end for 0.3 of its objective.
+/// Time limit of its requests. A call may wait for a third of it.
+pub const WAITING_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time limit and latency objective in ms; a call waits for a back end for 0.3 of its objective.
 const ROUTE_TIMEOUT_MS: u64 = 2000;
-const WAITING_TIMEOUT_MS: u64 = 5000;
 const WAITING_OBJECTIVE_MS: u64 = 20_000;
 
 /// A workspace's possession of a key.
@@ -67,11 +68,11 @@
         self.holdings.clone()
     }
 
-    /// Makes a new version that takes one or two keys away, moves one to the other workspace and adds
+    /// Makes a new version that takes up to three keys away, moves one to the other workspace and adds
     /// new ones. `accept` hands it to the store.
     pub fn change(&mut self, rng: &mut SmallRng, accept: impl FnOnce(&str)) {
         self.version += 1;
-        let gone: Vec<usize> = (0..rng.random_range(2..=3)).map(|_| self.end_one(rng)).collect();
+        let gone: Vec<usize> = (0..rng.random_range(2..=4)).map(|_| self.end_one(rng)).collect();
         let moved = self.holdings[gone[0]].clone();
         let other = CHANGING_WORKSPACES.into_iter().find(|other| *other != moved.workspace);
         self.hold(moved.key, other.expect("there are two workspaces"));
@@ -138,7 +139,7 @@
             safe[1],
             WAITING_PREFIX,
             "unsafe",
-            WAITING_TIMEOUT_MS,
+            WAITING_TIMEOUT.as_millis() as u64,
             WAITING_OBJECTIVE_MS,
             1,
             2,
