--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -119,7 +119,10 @@
     ) -> Option<(SocketAddr, Caller)> {
         let deadline = match self.kind {
             CallerKind::Waiting => WAITING_TIMEOUT,
-            _ => DEADLINE,
+            CallerKind::Lasting
+            | CallerKind::Changing
+            | CallerKind::Small
+            | CallerKind::Pipelined => DEADLINE,
         };
         let (path, count) = match self.kind {
             CallerKind::Pipelined => {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use crate::call::Call;
-use crate::faults::{Deployment, CALM_BEFORE_DRAIN};
+use crate::deployment::Deployment;
+use crate::faults::CALM_BEFORE_DRAIN;
 use crate::fixture::back_end::BackEnd;
 use crate::fixture::run::Run;
 use crate::fixture::LASTING_KEY;
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod callers;
 mod checks;
+mod deployment;
 mod faults;
 #[path = "../../platform/tests/fixture/mod.rs"]
 mod fixture;
@@ -22,7 +23,7 @@
 use clap::{value_parser, Arg, Command};
 
 use crate::callers::Callers;
-use crate::faults::Deployment;
+use crate::deployment::Deployment;
 
 /// Time for calls in flight to recover after the last fault.
 const RECOVERY_DELAY: Duration = Duration::from_millis(1500);
--- a/soak/src/trials.rs
+++ b/soak/src/trials.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 
-use crate::faults::{Deployment, ZONES};
+use crate::deployment::{Deployment, ZONES};
 use crate::fixture::arrival::sleep_until;
 use crate::fixture::back_end::BackEnd;
 use crate::fixture::DEFAULT_SERVICE;
--- a/soak/src/workspace_checks.rs
+++ b/soak/src/workspace_checks.rs
@@ -5,7 +5,7 @@
 
 use crate::call::Call;
 use crate::checks::max_in_window;
-use crate::faults::Deployment;
+use crate::deployment::Deployment;
 use crate::fixture::back_end::BackEnd;
 use crate::fixture::run::Run;
 use crate::fixture::LASTING_KEY;
