--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -1,26 +1,19 @@
-//! The deployment and the faults that are injected into it.
+//! The faults that a step injects.
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::callers::Call;
-use crate::fixture::back_end::BackEnd;
-use crate::fixture::process::Gateway;
-use crate::fixture::store::{ResponseMode, StandInStore};
-use crate::fixture::{config, free_address, wait_until};
+use crate::deployment::Deployment;
+use crate::fixture::store::ResponseMode;
+use crate::fixture::{wait_until, DEFAULT_SERVICE};
+use crate::interval::Interval;
 use crate::stops;
 
-const GATEWAY_COUNT: usize = 4;
-/// Number of back ends at the start; each drain adds one.
-const BACK_END_COUNT: usize = 5;
-
-/// A back end loses one response in this many.
-const RESPONSE_LOSS_INTERVAL: usize = 40;
+/// Probability that a new version of the configuration arrives while the store is out of service.
+const OUTAGE_CHANGE_RATIO: f64 = 0.5;
 
 /// Time without faults before and after the start of a drain. The bound on calls to a draining back
 /// end holds only without other faults.
@@ -39,10 +32,9 @@
     StoreSilent,
     Forget,
     Drain,
-    Change,
 }
 
-const ALL_FAULTS: [Fault; 10] = [
+const ALL_FAULTS: [Fault; 9] = [
     Fault::Terminate,
     Fault::Stop,
     Fault::Kill,
@@ -52,87 +44,19 @@
     Fault::StoreSilent,
     Fault::Forget,
     Fault::Drain,
-    Fault::Change,
 ];
 
-/// An interval during which a gateway or the store was out of service.
-#[derive(Clone, Copy, Debug)]
-pub struct Interval {
-    pub from: Instant,
-    pub to: Instant,
-}
-
-impl Interval {
-    /// Whether the interval overlaps the one from `from` to `to`.
-    pub fn overlaps(&self, from: Instant, to: Instant) -> bool {
-        self.from <= to && from <= self.to
-    }
-}
-
-/// The processes under test, and the faults that were injected.
-pub struct Deployment {
-    rng: SmallRng,
-    store: StandInStore,
-    gateways: Vec<Gateway>,
-    pub back_ends: Vec<BackEnd>,
-    version: u64,
-    /// Kills and pauses of gateways, with the gateway's address.
-    pub gateway_outages: Vec<(SocketAddr, Interval)>,
-    /// Intervals in which the store did not serve.
-    pub store_outages: Vec<Interval>,
-    /// Indexes of the draining back ends, with the start of each drain.
-    pub drains: Vec<(usize, Instant)>,
-    /// Calls to gateways during their planned stops.
-    pub calls: Vec<Call>,
-    counts: BTreeMap<Fault, u32>,
-}
-
 impl Deployment {
-    /// Starts a deployment and waits until it serves.
-    pub fn start(seed: u64) -> Self {
-        let store = StandInStore::start();
-        store.put("keyed.op", "config", &config(1, 2000));
-        let mut deployment = Self {
-            rng: SmallRng::seed_from_u64(seed),
-            store,
-            gateways: Vec::new(),
-            back_ends: Vec::new(),
-            version: 1,
-            gateway_outages: Vec::new(),
-            store_outages: Vec::new(),
-            drains: Vec::new(),
-            calls: Vec::new(),
-            counts: BTreeMap::new(),
-        };
-        for _ in 0..BACK_END_COUNT {
-            deployment.add_back_end();
-        }
-        let share_addresses: Vec<SocketAddr> = (0..GATEWAY_COUNT).map(|_| free_address()).collect();
-        for (number, share) in share_addresses.iter().enumerate() {
-            let name = format!("soak-{seed}-{number}");
-            let gateway =
-                Gateway::start_at(&name, *share, &deployment.store, &share_addresses[..2]);
-            deployment.gateways.push(gateway);
-        }
-        deployment.restore_gateways();
-        deployment
+    /// Starts a trial and injects one random fault while it runs.
+    pub fn play_step(&mut self) {
+        self.start_trial();
+        self.inject_fault();
+        self.end_due_evacuation();
     }
 
-    /// The addresses at which the gateways accept callers.
-    pub fn gateway_addresses(&self) -> Vec<SocketAddr> {
-        self.gateways.iter().map(|gateway| gateway.listen).collect()
-    }
-
-    /// The injected faults, with the count of each.
-    pub fn fault_summary(&self) -> String {
-        let counts = self.counts.iter().map(|(fault, count)| format!("{fault:?} {count}"));
-        counts.collect::<Vec<_>>().join(", ")
-    }
-
-    /// Injects one random fault.
-    pub fn inject_fault(&mut self) {
+    fn inject_fault(&mut self) {
         let fault = ALL_FAULTS[self.rng.random_range(0..ALL_FAULTS.len())];
-        *self.counts.entry(fault).or_default() += 1;
+        self.count(format!("{fault:?}"));
         let duration = Duration::from_millis(self.rng.random_range(100..900));
         let number = self.rng.random_range(0..self.gateways.len());
         match fault {
@@ -145,32 +69,10 @@
             Fault::StoreSilent => self.interrupt_store(ResponseMode::Hang, duration * 2),
             Fault::Forget => self.store.drop_history(),
             Fault::Drain => self.drain(),
-            Fault::Change => {
-                self.version += 1;
-                self.store.put("keyed.op", "config", &config(self.version, 2000));
-            }
         }
         thread::sleep(Duration::from_millis(self.rng.random_range(50..600)));
     }
 
-    /// Restarts gateways that have exited and waits until all are ready.
-    pub fn restore_gateways(&mut self) {
-        for gateway in &mut self.gateways {
-            if gateway.exit_success().is_some() {
-                gateway.restart();
-            }
-        }
-        wait_until("all gateways are ready", || self.gateways.iter().all(Gateway::is_ready));
-    }
-
-    fn add_back_end(&mut self) {
-        let service_time = Duration::from_millis(self.rng.random_range(5..60));
-        let id = format!("i-{}", self.back_ends.len());
-        let back_end = BackEnd::start_lossy(&id, service_time, RESPONSE_LOSS_INTERVAL);
-        self.store.put("keyed.servers", &back_end.id, &back_end.registration("ready", 1));
-        self.back_ends.push(back_end);
-    }
-
     /// Shuts a gateway down with SIGTERM and starts it again.
     fn terminate(&mut self, number: usize) {
         let gateway = &mut self.gateways[number];
@@ -223,20 +125,22 @@
     fn interrupt_store(&mut self, mode: ResponseMode, duration: Duration) {
         let from = Instant::now();
         self.store.set_response_mode(mode);
-        thread::sleep(duration);
+        thread::sleep(duration / 2);
+        if self.rng.random_bool(OUTAGE_CHANGE_RATIO) {
+            self.change_keys("KeysInOutage");
+        }
+        thread::sleep(duration / 2);
         self.store.set_response_mode(ResponseMode::Normal);
         self.store_outages.push(Interval { from, to: Instant::now() });
     }
 
     /// Registers another back end and drains one that does not drain yet.
     fn drain(&mut self) {
-        self.add_back_end();
-        let draining: Vec<usize> = self.drains.iter().map(|(number, _)| *number).collect();
-        let candidate = (0..self.back_ends.len() - 1).find(|number| !draining.contains(number));
+        self.add_back_end(DEFAULT_SERVICE);
+        let candidate = (0..self.back_ends.len() - 1).find(|number| self.is_ready(*number));
         let Some(number) = candidate else { return };
-        let back_end = &self.back_ends[number];
         thread::sleep(CALM_BEFORE_DRAIN);
-        self.store.put("keyed.servers", &back_end.id, &back_end.registration("draining", 2));
+        self.register(number, "draining");
         self.drains.push((number, Instant::now()));
         thread::sleep(CALM_AFTER_DRAIN);
     }
