--- a/src/process/gateway/quota/node.rs
+++ b/src/process/gateway/quota/node.rs
@@ -179,6 +179,11 @@
         Admission::Waiting(self.enqueue(index, id, now))
     }
 
+    /// Whether a workspace uses all of its quota.
+    pub fn is_limited(&self, id: WorkspaceId, now: Duration) -> bool {
+        self.wallet.is_limited(id, now)
+    }
+
     fn enqueue(&mut self, index: usize, workspace: WorkspaceId, now: Duration) -> Ticket {
         let ticket = Ticket(self.next_ticket);
         self.next_ticket += 1;
--- a/src/process/gateway/quota/task.rs
+++ b/src/process/gateway/quota/task.rs
@@ -75,6 +75,12 @@
         self.settle(gateway);
     }
 
+    /// Whether a workspace uses all of its quota.
+    pub fn is_limited(&self, workspace: &WorkspacePlan) -> bool {
+        let id = WorkspaceId::new(&workspace.name);
+        self.node.borrow().is_limited(id, suspension::since_boot())
+    }
+
     /// Number of calls that wait for a token.
     pub fn waiting_count(&self) -> usize {
         self.waiting.borrow().len()
--- a/src/process/gateway/quota/wallet.rs
+++ b/src/process/gateway/quota/wallet.rs
@@ -8,6 +8,9 @@
 /// Longest time for which a refusal holds without another request to the owner.
 pub const MAX_REFUSAL: Duration = Duration::from_millis(50);
 
+/// Time after a refusal for which a workspace counts as one that uses all of its quota.
+const LIMITED_MEMORY: Duration = Duration::from_secs(1);
+
 /// Tokens that expire together.
 #[derive(Clone, Copy, Debug)]
 struct Batch {
@@ -29,6 +32,8 @@
 pub struct Wallet {
     tokens: HashMap<WorkspaceId, VecDeque<Batch>>,
     refusals: HashMap<WorkspaceId, Refusal>,
+    /// Time of the last refusal of each workspace.
+    refused: HashMap<WorkspaceId, Duration>,
 }
 
 impl Wallet {
@@ -59,6 +64,7 @@
     pub fn refuse(&mut self, id: WorkspaceId, wait: Duration, now: Duration) {
         let until = now + wait.min(MAX_REFUSAL);
         self.refusals.insert(id, Refusal { until, passes: now + wait });
+        self.refused.insert(id, now);
     }
 
     /// The time until a call would pass, while a refusal holds.
@@ -67,9 +73,15 @@
         Some(refusal.passes.saturating_sub(now))
     }
 
+    /// Whether calls of the workspace were refused lately.
+    pub fn is_limited(&self, id: WorkspaceId, now: Duration) -> bool {
+        self.refused.get(&id).is_some_and(|time| now.saturating_sub(*time) < LIMITED_MEMORY)
+    }
+
     /// Removes what has expired.
     pub fn sweep(&mut self, now: Duration) {
         self.refusals.retain(|_, refusal| refusal.until > now);
+        self.refused.retain(|_, time| now.saturating_sub(*time) < LIMITED_MEMORY);
         self.tokens.retain(|_, batches| batches.iter().any(|batch| batch.expires > now));
     }
 }
--- a/src/request/relay.rs
+++ b/src/request/relay.rs
@@ -145,16 +145,16 @@
 /// workspace whose token the call has.
 async fn admit_workspace(
     gateway: &Rc<Gateway>,
-    routed: &RoutedCall,
+    routed: &mut RoutedCall,
     admitted: &mut Option<Rc<str>>,
 ) -> Result<(), Answer> {
-    let Some(workspace) = routed.workspace.as_ref().filter(|plan| plan.quota.is_some()) else {
+    let Some(workspace) = routed.workspace.clone().filter(|plan| plan.quota.is_some()) else {
         return Ok(());
     };
     if admitted.as_ref() == Some(&workspace.name) {
         return Ok(());
     }
-    let admission = quota::admit(gateway, workspace);
+    let admission = quota::admit(gateway, &workspace);
     match monoio::time::timeout(routed.left(Instant::now()), admission).await {
         Err(_) => Err(Answer::own(Code::NotRunDeadline)),
         Ok(Err(wait)) => {
@@ -163,6 +163,7 @@
             Err(refusal)
         }
         Ok(Ok(())) => {
+            routed.is_limited = gateway.quotas.is_limited(&workspace);
             *admitted = Some(workspace.name.clone());
             Ok(())
         }
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -48,6 +48,9 @@
     /// Number of distinct priorities of the service's routes that are more urgent than this
     /// route's.
     pub rank: u32,
+    /// Whether the call's workspace uses all of its quota. Where targets are short of room, it then
+    /// leaves the end of a queue to the workspaces that do not.
+    pub is_limited: bool,
     /// Number of attempts that may have sent a byte of the call.
     pub sent_attempts: u32,
     gateway: Rc<Gateway>,
@@ -78,6 +81,7 @@
             suspended: suspension::total(),
             deadline: Deadline::after(now, timeout.min(route.timeout)),
             rank: table.rank(&service, &route, workspace.as_deref()),
+            is_limited: false,
             key_version: table.version,
             is_key_taken: table.workspaces().is_some(),
             workspace,
@@ -150,7 +154,7 @@
             objective: self.route.objective,
             deadline: self.current_deadline(),
             typical: self.gateway.durations.borrow().get(&self.route.name),
-            rank: self.rank,
+            rank: self.rank + u32::from(self.is_limited),
         }
     }
 
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -220,6 +220,20 @@
     assert!(order.take_retry(0, START + ms(1000)).is_some());
 }
 
+/// Guards against a workspace that sends many times its usual and takes the last room at targets from
+/// those within their quotas, and against one that is put back long after.
+#[test]
+fn a_refused_workspace_counts_as_limited_for_a_second() {
+    let (id, other) = (WorkspaceId::new("w"), WorkspaceId::new("other"));
+    let mut wallet = Wallet::default();
+
+    wallet.refuse(id, ms(5), START);
+
+    assert!(wallet.is_limited(id, START + ms(999)));
+    assert!(!wallet.is_limited(id, START + ms(1000)));
+    assert!(!wallet.is_limited(other, START));
+}
+
 /// Guards against shards that none or all workspaces belong to.
 #[test]
 fn workspaces_are_spread_over_the_shards() {
