--- a/src/process/gateway/cold_share.rs
+++ b/src/process/gateway/cold_share.rs
@@ -61,7 +61,8 @@
     /// Number of calls in a window that is exceeded very rarely if each entry gets `rate` tokens per
     /// second.
     ///
-    /// The tokens of the window and those that were unused at its start may be used. Both the number of entries that use the target and the number of tokens of each vary.
+    /// The tokens of the window and those that were unused at its start may be used. Both the number
+    /// of entries that use the target and the number of tokens of each vary.
     fn high_count(&self, rate: f64) -> f64 {
         let (others, entries) = (self.expected_others(), 1.0 + self.expected_others());
         let tokens = rate * (BOUND_WINDOW + lifetime(period(rate))).as_secs_f64();
@@ -80,8 +81,9 @@
     accrued: Instant,
 }
 
-/// Tokens of one entry for one warm-up of a target, by plain arithmetic on the given time. They accrue at a constant rate from a random
-/// phase, so that entries that learn of a cold target together do not send together.
+/// Tokens of one entry for one warm-up of a target, by plain arithmetic on the given time. They accrue
+/// at a constant rate from a random phase, so that entries that learn of a cold target together do
+/// not send together.
 #[derive(Clone, Debug)]
 pub struct ColdShare {
     limit: ColdLimit,
