Add review case 8: a fraction in the settings' bounds stops every start

The template writes three zeros behind a bound in seconds, and the field must be a whole number, so that a process does not start once a bound is a fraction.

--- a/review/stand-in-2/gateway.rs
+++ b/review/stand-in-2/gateway.rs
@@ -131,6 +131,18 @@
         self.starts += 1;
     }
 
+
+    /// Replaces the settings file, as the platform does when the settings change.
+    pub fn write_settings(&self, values: &Values) {
+        let next = self.settings.with_extension("next");
+        std::fs::write(&next, render(values)).expect("the settings are written");
+        std::fs::rename(&next, &self.settings).expect("the settings are replaced");
+    }
+
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
+    }
 }
 
 impl Drop for Gateway {
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -9,6 +9,7 @@
 mod store;
 mod system;
 
+mod fraction;
 mod keep_alive;
 mod last_tenant;
 
@@ -23,6 +24,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(folder);
     let code = match case.as_str() {
+        "fraction" => fraction::play(folder, trouble),
         "keep-alive" => keep_alive::play(folder, trouble),
         "last-tenant" => last_tenant::play(folder, trouble),
         _ => 2,
--- a/review/stand-in-2/system.rs
+++ b/review/stand-in-2/system.rs
@@ -151,7 +151,7 @@
         for gateway in &self.gateways {
             let log = std::fs::read_to_string(self.temporary.join(format!("{}.log", gateway.name)));
             let panics = log.unwrap_or_default();
-            for line in panics.lines().filter(|line| line.contains("panicked") || line.contains("overflow")).take(4) {
+            for line in panics.lines().filter(|line| ["panicked", "overflow", "expected a"].iter().any(|word| line.contains(word))).take(4) {
                 let _ = writeln!(text, "log of {}: {line}", gateway.name);
             }
         }
