Add review case 9: a machine added in an outage of the store adds quota

It divides the refill by the number of entries that others report, in which it isn't counted itself.

--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -12,6 +12,7 @@
 mod fraction;
 mod keep_alive;
 mod last_tenant;
+mod quota;
 
 use std::path::Path;
 
@@ -25,6 +26,7 @@
     let folder = Path::new(folder);
     let code = match case.as_str() {
         "fraction" => fraction::play(folder, trouble),
+        "quota" => quota::play(folder, trouble),
         "keep-alive" => keep_alive::play(folder, trouble),
         "last-tenant" => last_tenant::play(folder, trouble),
         _ => 2,
--- a/review/stand-in-2/store.rs
+++ b/review/stand-in-2/store.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -15,13 +16,15 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<(Mutex<Topics>, Condvar)>,
+    /// Whether the store reads calls and answers none.
+    silent: Arc<AtomicBool>,
 }
 
 impl Store {
     pub fn start() -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let store = Self { address, state: Arc::default() };
+        let store = Self { address, state: Arc::default(), silent: Arc::default() };
         let shared = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -32,6 +35,12 @@
         store
     }
 
+    /// Begins or ends an outage in which calls get no answer.
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
+        self.state.1.notify_all();
+    }
+
     /// Appends a record and returns its offset; an empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
         let (topics, changed) = &*self.state;
@@ -46,6 +55,9 @@
     fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         while let Some(request) = http::read(&mut stream) {
+            if self.silent.load(Ordering::SeqCst) {
+                return thread::sleep(Duration::from_secs(30));
+            }
             let target = request.target().to_owned();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
             let query: HashMap<&str, &str> =
@@ -58,6 +70,9 @@
                 "/log-append" => (200, self.append(topic, &request.body)),
                 _ => (404, Vec::new()),
             };
+            if self.silent.load(Ordering::SeqCst) {
+                return thread::sleep(Duration::from_secs(30));
+            }
             if stream.write_all(&http::response(status, &[], &body)).is_err() {
                 return;
             }
--- a/review/stand-in-2/system.rs
+++ b/review/stand-in-2/system.rs
@@ -1,5 +1,6 @@
 //! A small deployment: a store, gateways, instances and clients, and the record of what they saw.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -8,11 +9,13 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Client, Sent};
+use crate::client::{Client, End, Sent};
 use crate::gateway::{self, Gateway, Place, Values};
 use crate::instance::{Instance, Run, Traits};
 use crate::store::Store;
 
+/// Machines that may be added to those that run from the start.
+const SPARE: usize = 1;
 pub const ZONES: [&str; 3] = ["z1", "z2", "z3"];
 /// Longest wait until all gateways are ready.
 const READY_LIMIT: Duration = Duration::from_secs(8);
@@ -42,7 +45,7 @@
         let mut system = Self {
             start: Instant::now(),
             store: Store::start(),
-            places: (0..gateways).map(|number| Place::new(number + 1)).collect(),
+            places: (0..gateways + SPARE).map(|number| Place::new(number + 1)).collect(),
             gateways: Vec::new(),
             runs: Arc::default(),
             sent: Arc::default(),
@@ -60,6 +63,14 @@
         system
     }
 
+    /// Adds the spare machine and returns its number.
+    pub fn add_gateway(&mut self, bounds: &Values) -> usize {
+        let number = self.gateways.len();
+        let gateway = self.start_gateway(number, bounds);
+        self.gateways.push(gateway);
+        number
+    }
+
     fn start_gateway(&self, number: usize, bounds: &Values) -> Gateway {
         let name = format!("front-{}", number + 1);
         let values = self.values(number, bounds);
@@ -156,10 +167,19 @@
             }
         }
         let _ = writeln!(text, "\nwhat was sent and answered");
+        // Refusals are many; they are counted by second and machine.
+        let mut refused: BTreeMap<(u64, String), u32> = BTreeMap::new();
         for Sent { at, id, gateway, key, end, took } in self.sent.lock().unwrap().iter() {
+            if *end == End::Status(429) {
+                *refused.entry((at.as_secs(), gateway.clone())).or_default() += 1;
+                continue;
+            }
             let (at, took) = (at.as_secs_f64(), took.as_millis());
             let _ = writeln!(text, "{at:8.3} s  {id} to {gateway}, key {key:?}: {end:?} after {took} ms");
         }
+        for ((second, gateway), count) in refused {
+            let _ = writeln!(text, "second {second}: {count} requests to {gateway} answered 429");
+        }
         let _ = writeln!(text, "\nwhat was run");
         for Run { at, instance, id, tenant, key } in self.runs.lock().unwrap().iter() {
             let at = at.as_secs_f64();
