Add review case 8: a crowd takes a gateway past its memory

3,280 clients of one machine of 160 MB send bookings of 24,000 bytes at once; the process exceeds its memory, is killed, and loses the bookings at work.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A machine is added while the store is down; the machines then hand out more than the quota.
+# A bound of the settings becomes a fraction; after the next kill no machine starts any more.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the
 # disruption out. Writes record.txt beside this file.
 set -u
@@ -7,4 +7,4 @@
 [ -x target/release/cornellink-gateway ] && [ -x target/review-2/main ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
 rm -f review/9/record.txt
-exec timeout -k 2 110 target/review-2/main quota review/9
+exec timeout -k 2 110 target/review-2/main fraction review/9
--- a/review/stand-in-2/client.rs
+++ b/review/stand-in-2/client.rs
@@ -43,8 +43,20 @@
 
     /// Sends a request on the kept connection, or on a new one, and waits for its answer.
     pub fn request(&mut self, method: &str, path: &str, id: &str, deadline: Duration) -> Sent {
+        self.request_with_body(method, path, id, deadline, &[])
+    }
+
+    /// Like `request`, with a body.
+    pub fn request_with_body(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline: Duration,
+        body: &[u8],
+    ) -> Sent {
         let (at, begun) = (self.start.elapsed(), Instant::now());
-        let end = self.exchange(method, path, id, deadline);
+        let end = self.exchange(method, path, id, deadline, body);
         if matches!(end, End::Cut | End::Deadline) {
             self.stream = None;
         }
@@ -52,7 +64,14 @@
         Sent { at, id, gateway, key, end, took: begun.elapsed() }
     }
 
-    fn exchange(&mut self, method: &str, path: &str, id: &str, deadline: Duration) -> End {
+    fn exchange(
+        &mut self,
+        method: &str,
+        path: &str,
+        id: &str,
+        deadline: Duration,
+        body: &[u8],
+    ) -> End {
         if self.stream.is_none() {
             self.stream = TcpStream::connect_timeout(&self.address, Duration::from_secs(1)).ok();
         }
@@ -60,14 +79,17 @@
         let _ = stream.set_nodelay(true);
         let _ = stream.set_read_timeout(Some(deadline));
         let key = self.key.as_ref().map_or(String::new(), |key| format!("X-Key: {key}\r\n"));
-        let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+        let length = match method {
+            "POST" => format!("Content-Length: {}\r\n", body.len()),
+            _ => String::new(),
+        };
         let request = format!(
             "{method} {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}\r\n\
              X-Deadline-Ms: {}\r\n{key}{length}\r\n",
             deadline.as_millis()
         );
         let begun = Instant::now();
-        if stream.write_all(request.as_bytes()).is_err() {
+        if stream.write_all(&[request.as_bytes(), body].concat()).is_err() {
             return End::Cut;
         }
         match http::read(stream) {
@@ -77,7 +99,7 @@
                 }
                 End::Status(answer.status())
             }
-            None if begun.elapsed() >= deadline => End::Deadline,
+            None if begun.elapsed() + Duration::from_millis(5) >= deadline => End::Deadline,
             None => End::Cut,
         }
     }
--- a/review/stand-in-2/fraction.rs
+++ b/review/stand-in-2/fraction.rs
@@ -15,7 +15,7 @@
 pub fn play(folder: &Path, trouble: bool) -> i32 {
     let mut system = System::start(folder, 3, &Vec::new());
     system.store.put("keyed.op", "config", config(1, None).as_bytes());
-    let traits = Traits { work: Duration::from_millis(30), keep_alive: Some("timeout=10".into()) };
+    let traits = Traits::taking(Duration::from_millis(30));
     for (number, zone) in ZONES.iter().enumerate() {
         system.add_instance(&format!("i-{number}"), "shop", zone, traits.clone());
     }
--- a/review/stand-in-2/gateway.rs
+++ b/review/stand-in-2/gateway.rs
@@ -139,6 +139,14 @@
         std::fs::rename(&next, &self.settings).expect("the settings are replaced");
     }
 
+    /// Resident memory of the process; 0 if it has ended.
+    pub fn resident_kib(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or_default();
+        line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
         let _ = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
--- a/review/stand-in-2/instance.rs
+++ b/review/stand-in-2/instance.rs
@@ -26,8 +26,10 @@
 /// How an instance differs from others.
 #[derive(Clone)]
 pub struct Traits {
-    /// Time that a request takes.
+    /// Time that a request takes that may run once only.
     pub work: Duration,
+    /// Time that a GET takes.
+    pub read_work: Duration,
     /// Value of the `Keep-Alive` header of its responses.
     pub keep_alive: Option<String>,
 }
@@ -44,6 +46,13 @@
     runs: Arc<Mutex<Vec<Run>>>,
 }
 
+impl Traits {
+    /// An instance that takes the same time for all requests.
+    pub fn taking(work: Duration) -> Self {
+        Self { work, read_work: work, keep_alive: Some("timeout=10".into()) }
+    }
+}
+
 impl Instance {
     /// Starts an instance and registers it; `runs` gets what it runs, timed from `start`.
     pub fn start(
@@ -124,7 +133,8 @@
             key: request.field("x-key").map(str::to_owned),
         });
         self.running.fetch_add(1, Ordering::SeqCst);
-        thread::sleep(self.traits.work);
+        let is_read = request.start.starts_with("GET ");
+        thread::sleep(if is_read { self.traits.read_work } else { self.traits.work });
         self.running.fetch_sub(1, Ordering::SeqCst);
         let seal = format!("{}.{id}", self.id);
         self.answer(200, vec![("x-attempt-id", id), ("x-response-seal", seal)], b"the work")
--- a/review/stand-in-2/keep_alive.rs
+++ b/review/stand-in-2/keep_alive.rs
@@ -17,7 +17,7 @@
 pub fn play(folder: &Path, trouble: bool) -> i32 {
     let mut system = System::start(folder, 3, &Vec::new());
     system.store.put("keyed.op", "config", config(1, None).as_bytes());
-    let usual = Traits { work: WORK, keep_alive: Some(USUAL.into()) };
+    let usual = Traits::taking(WORK);
     for (number, zone) in ZONES.iter().enumerate() {
         for copy in 0..2 {
             system.add_instance(&format!("i-{number}{copy}"), "shop", zone, usual.clone());
@@ -37,7 +37,7 @@
     system.watch(Duration::from_secs(4));
     let value = if trouble { LONGEST } else { USUAL };
     system.note(format!("the instance i-new joins, `Keep-Alive: {value}`"));
-    system.add_instance("i-new", "shop", "z1", Traits { work: WORK, keep_alive: Some(value.into()) });
+    system.add_instance("i-new", "shop", "z1", Traits { keep_alive: Some(value.into()), ..usual });
     system.watch(Duration::from_secs(15));
     system.stop_clients();
     judge(system)
--- a/review/stand-in-2/last_tenant.rs
+++ b/review/stand-in-2/last_tenant.rs
@@ -20,7 +20,7 @@
     let first = format!(r#"["yefi830",["{HELD}"],0,0,0]"#);
     let other = r#"["wodo115",["qk5r0v1z7yx3m2n8b4c6"],0,0,0]"#;
     system.store.put("keyed.op", "config", config(1, Some(&table(&first))).as_bytes());
-    let traits = Traits { work: Duration::from_millis(30), keep_alive: Some("timeout=10".into()) };
+    let traits = Traits::taking(Duration::from_millis(30));
     for (number, zone) in ZONES.iter().enumerate() {
         system.add_instance(&format!("i-{number}"), "shop", zone, traits.clone());
     }
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -3,6 +3,7 @@
 //! if it held, and with 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
 mod client;
+mod crowd;
 mod gateway;
 mod http;
 mod instance;
@@ -25,6 +26,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let folder = Path::new(folder);
     let code = match case.as_str() {
+        "crowd" => crowd::play(folder, trouble),
         "fraction" => fraction::play(folder, trouble),
         "quota" => quota::play(folder, trouble),
         "keep-alive" => keep_alive::play(folder, trouble),
--- a/review/stand-in-2/quota.rs
+++ b/review/stand-in-2/quota.rs
@@ -31,7 +31,7 @@
     let columns = r#"["name","api_keys","priority","rate_per_s","burst"]"#;
     let tenants = format!(r#"{{"columns":{columns},"rows":[["yefi830",["{KEY}"],0,{RATE},0]]}}"#);
     system.store.put("keyed.op", "config", config(1, Some(&tenants)).as_bytes());
-    let traits = Traits { work: Duration::from_millis(2), keep_alive: Some("timeout=10".into()) };
+    let traits = Traits::taking(Duration::from_millis(2));
     for zone in ZONES {
         for copy in 0..4 {
             system.add_instance(&format!("i-{zone}-{copy}"), "shop", zone, traits.clone());
--- a/review/stand-in-2/system.rs
+++ b/review/stand-in-2/system.rs
@@ -135,6 +135,26 @@
         }
     }
 
+    /// Watches the only gateway for a time, like `watch`, and ends it, as the platform does, when its
+    /// resident memory exceeds `limit_kib`. Returns the most that was seen.
+    pub fn watch_memory(&mut self, span: Duration, limit_kib: u64) -> u64 {
+        let end = Instant::now() + span;
+        let mut most = 0;
+        while Instant::now() < end {
+            let resident = self.gateways[0].resident_kib();
+            most = most.max(resident);
+            if resident > limit_kib {
+                let text = format!("it had {resident} KiB of {limit_kib} KiB, the platform kills it");
+                self.ends.push((self.start.elapsed(), self.gateways[0].name.clone(), text));
+                self.gateways[0].signal("KILL");
+                thread::sleep(RESTART_DELAY);
+                self.gateways[0].restart();
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        most
+    }
+
     pub fn note(&mut self, text: String) {
         let line = format!("{:8.3} s  {text}", self.start.elapsed().as_secs_f64());
         println!("{line}");
