--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/main review/stand-in-2/main.rs
+rustc --edition 2021 -O -o target/review-2/main review/6/stand_in/main.rs
