Take fractions in a gateway's settings, and start with an unusable one

Cause: the template made milliseconds by appending three zeros, and the schema took whole numbers only. Entries that ran logged the problem and served on, so nothing showed before the next start.

Ruled out: another field of the settings, as the same change with 7 serves.

An optional field that is still unusable is replaced and logged instead of ending the start.

--- a/src/command/fields.rs
+++ b/src/command/fields.rs
@@ -73,6 +73,7 @@
         | Kind::Name
         | Kind::Number { .. }
         | Kind::Prefix
-        | Kind::Text { .. } => {}
+        | Kind::Text { .. }
+        | Kind::Time { .. } => {}
     }
 }
--- a/src/process/gateway/reload.rs
+++ b/src/process/gateway/reload.rs
@@ -31,8 +31,9 @@
 }
 
 fn reload(gateway: &Gateway, path: &str) {
-    match GatewaySettings::load(path) {
-        Ok(settings) => apply(gateway, settings),
+    let loaded = gateway.settings.borrow().load_successor(path);
+    match loaded {
+        Ok(usable) => apply(gateway, usable.log_problems()),
         Err(error) => log::error!(error:% = error; "invalid settings, keeping the current ones"),
     }
 }
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -114,7 +114,8 @@
     CallerServer {
         listener,
         limits: gateway.limits.clone(),
-        max_connections: settings.descriptors.saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize,
+        max_connections: (settings.descriptors as u64).saturating_sub(RESERVED_DESCRIPTORS).max(64)
+            as usize,
         service,
         open_count: Rc::default(),
         tasks: Tasks::default(),
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -1,13 +1,14 @@
 //! The settings of a gateway.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use serde_json::Value as Json;
 
 use super::super::Result;
 use super::quota::limit::Terms;
 use crate::prelude::*;
 use crate::version::check;
 use crate::version::check::checked_value::CheckedValue;
-use crate::version::check::problem::ProblemReport;
+use crate::version::check::problem::{Problem, ProblemReport};
 use crate::version::check::schema::{Field, Kind, Schema};
 
 /// Largest value of settings in milliseconds, one hour.
@@ -25,7 +26,7 @@
 const BYTES_PER_MIB: f64 = 1024.0 * 1024.0;
 
 /// The content of the settings file; each field has a row in `SCHEMA`.
-#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "camelCase")]
 pub struct GatewaySettings {
     /// Name of the entry, unique in its environment.
@@ -40,7 +41,7 @@
     pub admin: SocketAddr,
     /// Address at which other entries of the failure domain receive what this one reads from the
     /// directory; without it, every entry reads the directory itself.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub share: Option<SocketAddr>,
     /// `share` addresses of other entries, used by a start during an outage of the directory.
     pub seeds: Vec<SocketAddr>,
@@ -80,14 +81,20 @@
     /// milliseconds.
     pub evacuation_ms: u64,
     /// Limit of open file descriptors.
-    pub descriptors: u64,
+    pub descriptors: f64,
     /// Memory of the VM in MiB.
-    pub memory_mb: u64,
+    pub memory_mb: f64,
     /// Log filter.
     pub log: String,
 }
 
-const TIME_MS: Kind = Kind::Integer { min: 1, max: MAX_TIME_MS };
+/// Settings, and the problems of the fields that were replaced.
+pub struct UsableSettings {
+    pub settings: GatewaySettings,
+    pub problems: Vec<Problem>,
+}
+
+const TIME_MS: Kind = Kind::Time { min_ms: 1, max_ms: MAX_TIME_MS };
 
 /// The fields of a settings file, with their defaults.
 pub const SCHEMA: Schema = Schema {
@@ -115,8 +122,8 @@
         Field::default("warmupOverage", Kind::Number { min: 0.0, max: 1000.0 }, "1.5"),
         Field::default("warmupSlack", Kind::Number { min: 0.0, max: 1_000_000.0 }, "8.0"),
         Field::default("evacuationMs", TIME_MS, "5000"),
-        Field::default("descriptors", Kind::Integer { min: 64, max: 10_000_000 }, "4096"),
-        Field::default("memoryMb", Kind::Integer { min: 32, max: 10_000_000 }, "256"),
+        Field::default("descriptors", Kind::Number { min: 64.0, max: 10_000_000.0 }, "4096.0"),
+        Field::default("memoryMb", Kind::Number { min: 32.0, max: 10_000_000.0 }, "256.0"),
         Field::default("log", Kind::Text { max: 256 }, "\"info\""),
     ],
 };
@@ -124,9 +131,26 @@
 impl GatewaySettings {
     /// Reads the settings from a file of JSON with comments.
     pub fn load(path: &str) -> Result<Self> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| Error::File { path: path.into(), source })?;
-        Self::parse(&text)
+        Self::parse(&read(path)?)
+    }
+
+    /// Reads the settings from a file like [`Self::load`], but replaces optional fields that have
+    /// problems by their defaults, so that one of them does not keep an entry from starting.
+    pub fn load_usable(path: &str) -> Result<UsableSettings> {
+        Self::parse_usable(&read(path)?, &Json::Null)
+    }
+
+    /// Reads the settings from a file that replace these; fields that have problems keep the values
+    /// of these.
+    pub fn load_successor(&self, path: &str) -> Result<UsableSettings> {
+        let current = serde_json::to_value(self).expect("settings have no failing serializer");
+        Self::parse_usable(&read(path)?, &current)
+    }
+
+    fn parse_usable(text: &str, fallback: &Json) -> Result<UsableSettings> {
+        let (settings, problems) =
+            check::deserialize_usable(text, &SCHEMA, check_listeners, fallback)?;
+        Ok(UsableSettings { settings, problems })
     }
 
     /// Parses and checks settings.
@@ -172,12 +196,12 @@
 
     /// Bytes that the calls of all callers may occupy.
     pub fn call_memory_bytes(&self) -> usize {
-        (self.memory_mb as f64 * BYTES_PER_MIB * CALL_MEMORY_RATIO) as usize
+        (self.memory_mb * BYTES_PER_MIB * CALL_MEMORY_RATIO) as usize
     }
 
     /// Bytes that the responses of all targets may occupy.
     pub fn response_memory_bytes(&self) -> usize {
-        (self.memory_mb as f64 * BYTES_PER_MIB * RESPONSE_MEMORY_RATIO) as usize
+        (self.memory_mb * BYTES_PER_MIB * RESPONSE_MEMORY_RATIO) as usize
     }
 
     fn grace(&self) -> Duration {
@@ -185,6 +209,20 @@
     }
 }
 
+impl UsableSettings {
+    /// Logs the fields that were replaced, and returns the settings.
+    pub fn log_problems(self) -> GatewaySettings {
+        for problem in &self.problems {
+            log::error!(problem:% = problem; "invalid setting, another value is used");
+        }
+        self.settings
+    }
+}
+
+fn read(path: &str) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|source| Error::File { path: path.into(), source })
+}
+
 fn check_listeners(root: &CheckedValue, report: &mut ProblemReport) {
     let names = ["listen", "ready", "admin", "share"];
     for (index, name) in names.iter().enumerate() {
--- a/src/version/check/problem.rs
+++ b/src/version/check/problem.rs
@@ -24,6 +24,11 @@
 }
 
 impl Problem {
+    /// Whether the problem lies in a field of the root object.
+    pub fn concerns(&self, field: &str) -> bool {
+        self.path.split(['.', '[']).next() == Some(field)
+    }
+
     /// A problem of the whole text, reported at its start.
     pub fn at_start(expected: &str) -> Self {
         Self { line: 1, column: 1, path: String::new(), expected: expected.into() }
@@ -99,10 +104,15 @@
     }
 
     /// Returns all problems, ordered by position, as an error; `Ok` if there are none.
-    pub fn into_result(mut self) -> super::Result<()> {
-        if self.problems.is_empty() {
-            return Ok(());
+    pub fn into_result(self) -> super::Result<()> {
+        match self.into_problems() {
+            problems if problems.is_empty() => Ok(()),
+            problems => Err(Error::Invalid { problems }),
         }
+    }
+
+    /// Returns all problems, ordered by position.
+    pub fn into_problems(mut self) -> Vec<Problem> {
         self.problems.sort_by_key(|(offset, _)| *offset);
         let mut problems: Vec<Problem> =
             self.problems.into_iter().map(|(_, problem)| problem).collect();
@@ -110,6 +120,6 @@
             let text = format!("`{}` more problems are not listed", self.unlisted);
             problems.push(Problem::at_start(&text));
         }
-        Err(Error::Invalid { problems })
+        problems
     }
 }
--- a/src/version/check/schema.rs
+++ b/src/version/check/schema.rs
@@ -52,6 +52,11 @@
     Text {
         max: usize,
     },
+    /// A time in milliseconds, which is cut to whole ones.
+    Time {
+        min_ms: u64,
+        max_ms: u64,
+    },
 }
 
 impl Field {
@@ -87,6 +92,9 @@
             Self::Object(_) => "an object".into(),
             Self::Prefix => "a path prefix of at most 256 characters such as `/tickets`".into(),
             Self::Text { max } => format!("a text of 1 to {max} characters"),
+            Self::Time { min_ms, max_ms } => {
+                format!("a time from {min_ms} to {max_ms} milliseconds")
+            }
         }
     }
 }
--- a/src/version/check/string.rs
+++ b/src/version/check/string.rs
@@ -17,7 +17,8 @@
         | Kind::Integer { .. }
         | Kind::List { .. }
         | Kind::Number { .. }
-        | Kind::Object(_) => false,
+        | Kind::Object(_)
+        | Kind::Time { .. } => false,
     }
 }
 
--- a/src/version/check/validator.rs
+++ b/src/version/check/validator.rs
@@ -56,6 +56,14 @@
                     Ok(_) | Err(_) => self.report_unexpected(value, &kind.describe()),
                 }
             }
+            (Kind::Time { min_ms, max_ms }, Value::NumberLit(literal)) => {
+                match literal.value.parse::<f64>() {
+                    Ok(millis) if (*min_ms as f64..=*max_ms as f64).contains(&millis) => {
+                        (millis as u64).into()
+                    }
+                    Ok(_) | Err(_) => self.report_unexpected(value, &kind.describe()),
+                }
+            }
             (Kind::Number { min, max }, Value::NumberLit(literal)) => {
                 match literal.value.parse::<f64>() {
                     Ok(number) if (*min..=*max).contains(&number) => number.into(),
