--- a/tests/keys_of_workspaces.rs
+++ b/tests/keys_of_workspaces.rs
@@ -274,6 +274,31 @@
     .unwrap();
 }
 
+/// Guards against routes that the removal of the last workspace opens, for calls that wait and for
+/// those that arrive behind it.
+#[test]
+fn the_removal_of_the_last_workspace_admits_nobody() {
+    let receiver = ScriptedTarget::start("one", Script::Respond, FREE);
+    block_on(async move {
+        let before = || Some(vec![row("w-1", &["k-1"], None)]);
+        let (response, waited_for) = change_while_waiting(before(), Some(Vec::new())).await;
+        assert_eq!(response.code(), Some(Code::RefusedKey));
+        assert!(waited_for.received_calls().is_empty());
+
+        let gateway = start(&receiver, before()).await;
+        set_table(&gateway, 2, Some(Vec::new())).await;
+        for headers in [&[][..], &[(HEADER_NAMES.key, "k-1")], &[(HEADER_NAMES.key, "k-9")]] {
+            let response = send(&gateway, "/a/x", headers).await;
+            assert_eq!(response.status, StatusCode::UNAUTHORIZED, "{headers:?}");
+        }
+        assert!(receiver.received_calls().is_empty());
+        let response = send(&gateway, "/p/x", &[(HEADER_NAMES.key, "k-1")]).await;
+        assert_eq!(response.code(), None);
+        assert!(last_workspaces(&receiver).is_empty());
+    })
+    .unwrap();
+}
+
 /// Guards against a call that runs for the workspace that held its key before, and against one that is
 /// refused since the target at which the move was noticed counts as tried.
 #[test]
