Remove keys of callers also after the workspaces are gone

A gateway whose routes have named workspaces goes on removing both headers. Without workspaces from the start they are passed on, as before.

keys_stay_secret_without_workspaces failed before: the target got the key.

--- a/src/process/gateway/mod.rs
+++ b/src/process/gateway/mod.rs
@@ -103,6 +103,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// Whether the registry has held all targets of the directory at least once.
     targets_loaded: Cell<bool>,
+    /// Whether a route table has named workspaces since the start.
+    had_workspaces: Cell<bool>,
 }
 
 impl Gateway {
@@ -137,6 +139,7 @@
             last_read: Cell::default(),
             table: RefCell::default(),
             targets_loaded: Cell::new(false),
+            had_workspaces: Cell::default(),
         }
     }
 
@@ -164,10 +167,17 @@
         self.durations.borrow_mut().retain(|name| table.has_route(name));
         self.response_sizes.borrow_mut().retain(|name| table.has_route(name));
         self.quotas.set_table(&table, self.settings.borrow().quota_terms());
+        self.had_workspaces.set(self.had_workspaces.get() || table.workspaces().is_some());
         self.table.replace(Some(table));
         true
     }
 
+    /// Whether callers may send keys, which are secret: also under routes that name no workspaces
+    /// any more.
+    pub fn takes_keys(&self) -> bool {
+        self.had_workspaces.get()
+    }
+
     /// Records that the registry holds all targets of the directory.
     pub fn set_targets_loaded(&self) {
         self.targets_loaded.set(true);
--- a/src/request/routed_call.rs
+++ b/src/request/routed_call.rs
@@ -35,7 +35,7 @@
     pub workspace: Option<Rc<WorkspacePlan>>,
     /// The key, which is marked as sensitive and sent to no target.
     key: Option<HeaderValue>,
-    /// Whether the key was removed from the call, since the routes name workspaces.
+    /// Whether the key was removed from the call, since routes have named workspaces.
     is_key_taken: bool,
     /// Version of the route table in which the workspace was last looked up.
     key_version: u64,
@@ -66,7 +66,8 @@
             gateway.table().filter(|_| gateway.are_targets_loaded()).ok_or(Code::NotReady)?;
         let host = call.header("host").unwrap_or_default();
         let route = table.find(host, call.uri.path()).ok_or(Code::RefusedService)?.clone();
-        let key = table.workspaces().and_then(|_| take_key(gateway, call));
+        let is_key_taken = gateway.takes_keys();
+        let key = if is_key_taken { take_key(gateway, call) } else { None };
         let workspace = find_workspace(&table, &route, key.as_ref())?;
         let service = route.next_service().clone();
         let plan = table.service(&service).ok_or(Code::RefusedService)?.clone();
@@ -83,7 +84,7 @@
             rank: table.rank(&service, &route, workspace.as_deref()),
             is_limited: false,
             key_version: table.version,
-            is_key_taken: table.workspaces().is_some(),
+            is_key_taken,
             workspace,
             key,
             sent_attempts: 0,
@@ -106,7 +107,7 @@
         let Some(table) = self.gateway.table().filter(|table| table.version != key_version) else {
             return Ok(false);
         };
-        if table.workspaces().is_some() && !self.is_key_taken {
+        if self.gateway.takes_keys() && !self.is_key_taken {
             self.key = take_key(&self.gateway, call);
             self.is_key_taken = true;
         }
--- a/tests/keys_of_workspaces.rs
+++ b/tests/keys_of_workspaces.rs
@@ -242,6 +242,24 @@
     .unwrap();
 }
 
+/// Guards against a key, or a forged name of a workspace, at a target once the routes name no
+/// workspaces any more.
+#[test]
+fn keys_stay_secret_without_workspaces() {
+    let receiver = ScriptedTarget::start("one", Script::Respond, FREE);
+    block_on(async move {
+        let gateway = start(&receiver, Some(vec![row("w-1", &["k-1"], None)])).await;
+        set_table(&gateway, 2, None).await;
+
+        let headers = [(HEADER_NAMES.key, "k-1"), (HEADER_NAMES.workspace, "w-1")];
+        let response = send(&gateway, "/a/x", &headers).await;
+
+        assert_eq!(response.code(), None);
+        assert!(last_workspaces(&receiver).is_empty());
+    })
+    .unwrap();
+}
+
 /// Sends a call, changes the configuration while the call waits for the probe of the only target, and
 /// returns the response and the target.
 async fn change_while_waiting(
