Refuse responses with a status of no class

Here 000 to 099 were refused by the codec; 600 to 999 reached callers.

Cause: only the codec looked at the status, and it takes any three digits from 100 on. Such a response is now a fault of its target, like other bytes that are no response: a call that may be repeated gets another target's response, any other learns that its outcome is unknown.

--- a/src/connection/framing.rs
+++ b/src/connection/framing.rs
@@ -8,6 +8,8 @@
 
 /// Most header fields in a head; the codec accepts no more.
 const MAX_HEADERS: usize = 96;
+/// Status codes of the classes that HTTP defines.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
 /// Minor version number of HTTP/1.1.
 const HTTP_1_1_MINOR: u8 = 1;
 
@@ -58,7 +60,7 @@
         Ok(httparse::Status::Complete(_)) => {}
         Ok(httparse::Status::Partial) | Err(_) => return Err(Fault::Framing),
     }
-    let status = response.code.ok_or(Fault::Framing)?;
+    let status = response.code.filter(|code| STATUSES.contains(code)).ok_or(Fault::Framing)?;
     let announced = framing_from_headers(response.headers, response.version)?;
     if method == Method::HEAD || matches!(status, 100..=199 | 204 | 304) {
         let announces_body = !matches!(announced, None | Some(Framing::Empty));
