Bound numbers from outside where they meet the clock

Cause: the timeout was added to the clock as it came. Tried with twelve numbers in all that targets, callers, the configuration and other entries state, two more were found: times of a configuration end the process in the timer, and a number of entries that another one reports is used whatever its size.

Keep-alive timeouts now count as an hour at most, times of a configuration as 365 days, and numbers of entries above the largest allowed one are ignored.

--- a/src/connection/target.rs
+++ b/src/connection/target.rs
@@ -19,6 +19,8 @@
 /// How long before the server's keep-alive timeout a connection is no longer used, so that no
 /// call is sent on a connection that the server is closing.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(1500);
+/// Longest keep-alive timeout that is taken from a server, which may state any number.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3600);
 /// Status after which the connection no longer carries HTTP.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -170,5 +172,5 @@
     let mut parts = value.split(',').filter_map(|part| part.split_once('='));
     let (_, seconds) = parts.find(|(name, _)| name.trim().eq_ignore_ascii_case("timeout"))?;
     let idle = Duration::from_secs(seconds.trim().parse().ok()?);
-    Some(Instant::now() + idle.saturating_sub(KEEP_ALIVE_MARGIN))
+    Some(Instant::now() + idle.min(MAX_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN))
 }
--- a/src/process/gateway/settings.rs
+++ b/src/process/gateway/settings.rs
@@ -5,6 +5,7 @@
 
 use super::super::Result;
 use super::quota::limit::Terms;
+use super::sharing::MAX_ENTRIES;
 use crate::prelude::*;
 use crate::version::check;
 use crate::version::check::checked_value::CheckedValue;
@@ -109,7 +110,7 @@
         Field::required("directory", Kind::Address),
         Field::default("linkMbps", Kind::Number { min: 0.0, max: 10_000_000.0 }, "0.0"),
         Field::default("firstStart", Kind::Boolean, "false"),
-        Field::default("maxEntries", Kind::Integer { min: 1, max: 100_000 }, "16"),
+        Field::default("maxEntries", Kind::Integer { min: 1, max: MAX_ENTRIES as u64 }, "16"),
         Field::default("retryRatio", Kind::Number { min: 0.0, max: 1.0 }, "0.1"),
         Field::default("retrySlack", Kind::Number { min: 0.0, max: 1_000_000.0 }, "50.0"),
         Field::default("retryWindowMs", TIME_MS, "10000"),
--- a/src/process/gateway/sharing/fleet_size.rs
+++ b/src/process/gateway/sharing/fleet_size.rs
@@ -1,6 +1,7 @@
 //! The number of entries, by which common limits are divided, and whether the others count this one.
 
 use super::membership::COUNTED_DELAY;
+use super::MAX_ENTRIES;
 use crate::prelude::*;
 
 /// Number of entries of all failure domains.
@@ -47,6 +48,9 @@
 
     /// Records the number of entries that another entry knows.
     pub fn record_reported(&self, reported: Option<u32>) {
+        if let Some(entries) = reported.filter(|entries| *entries > MAX_ENTRIES) {
+            return log::warn!(entries; "number of entries ignored");
+        }
         self.reported.set(self.reported.get().max(reported));
     }
 
--- a/src/process/gateway/sharing/mod.rs
+++ b/src/process/gateway/sharing/mod.rs
@@ -33,6 +33,8 @@
 use self::publish::Subscribers;
 use crate::prelude::*;
 
+/// Most entries that an environment can have.
+pub const MAX_ENTRIES: u32 = 100_000;
 /// Age of the cached directory at which a standby reads the directory itself.
 pub const STANDBY_AGE: Duration = Duration::from_millis(1050);
 /// Age of the reader's copy at which a subscriber switches to another reader.
--- a/src/version/route_table.rs
+++ b/src/version/route_table.rs
@@ -9,6 +9,10 @@
 use super::Result;
 use crate::prelude::*;
 
+/// Longest time of a route or a limit, 365 days. A configuration may state times beyond the range of
+/// the clock.
+const MAX_TIME: Duration = Duration::from_secs(365 * 24 * 3600);
+
 /// Settings that all targets of a service share.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServicePlan {
@@ -29,6 +33,17 @@
     pub idle_timeout: Duration,
 }
 
+impl CallerBounds {
+    /// The same with times that the clock can measure.
+    fn bounded(self) -> Self {
+        Self {
+            head_timeout: self.head_timeout.min(MAX_TIME),
+            idle_timeout: self.idle_timeout.min(MAX_TIME),
+            ..self
+        }
+    }
+}
+
 /// The routes of one version, indexed by host.
 #[derive(Debug)]
 pub struct RouteTable {
@@ -53,8 +68,11 @@
     ) -> Result<Self> {
         let mut hosts: HashMap<String, Vec<Rc<Route>>> = HashMap::new();
         let mut priorities: HashMap<Rc<str>, Vec<u32>> = HashMap::new();
-        for route in routes {
+        let bounds = bounds.bounded();
+        for mut route in routes {
             check_route(&route, &services)?;
+            route.timeout = route.timeout.min(MAX_TIME);
+            route.objective = route.objective.min(MAX_TIME);
             for share in route.shares.iter().filter(|share| share.weight > 0) {
                 let distinct = priorities.entry(share.service.clone()).or_default();
                 if !distinct.contains(&route.priority) {
