Let the limit on the memory of calls bind for small bodies

Cause: each connection could buffer 64 KiB whatever the limit on all calls said, which is more than the memory with the 3,300 connections that a gateway takes. The guaranteed bytes now follow from the number of connections: together a quarter of the limit, 4 to 64 KiB each.

--- a/src/process/entry.rs
+++ b/src/process/entry.rs
@@ -165,7 +165,10 @@
     let state = entry.clone();
     let service = CallService {
         shutdown: entry.shutdown.clone(),
-        memory: Rc::new(MemoryBudget::new(settings.memory_limit)),
+        memory: Rc::new(MemoryBudget::for_connections(
+            settings.memory_limit,
+            settings.max_connections,
+        )),
         handler: Rc::new(move |call| {
             let entry = state.clone();
             Box::pin(async move { dispatch::dispatch(&entry, call).await })
--- a/src/process/gateway/run.rs
+++ b/src/process/gateway/run.rs
@@ -104,9 +104,12 @@
 pub fn caller_server(gateway: &Rc<Gateway>, listener: TcpListener) -> CallerServer {
     let settings = gateway.settings.borrow();
     let (state, routes, metrics) = (gateway.clone(), gateway.clone(), gateway.clone());
+    let max_connections =
+        (settings.descriptors as u64).saturating_sub(RESERVED_DESCRIPTORS).max(64) as usize;
+    let call_memory = settings.call_memory_bytes();
     let service = CallService {
         shutdown: gateway.shutdown.clone(),
-        memory: Rc::new(MemoryBudget::new(settings.call_memory_bytes())),
+        memory: Rc::new(MemoryBudget::for_connections(call_memory, max_connections)),
         handler: Rc::new(move |call| Box::pin(relay::relay(state.clone(), call))),
         overlap: Rc::new(move |call| call_overlap(&routes, call)),
         count_pipelined: Rc::new(move || metrics.metrics.count(PIPELINED_COUNTER)),
