--- a/src/process/gateway/sharing/membership.rs
+++ b/src/process/gateway/sharing/membership.rs
@@ -45,8 +45,6 @@
     order: &RefCell<ReaderOrder>,
 ) {
     let mut has_joined = false;
-    let mut is_first_read = true;
-    let mut has_peer_list = false;
     let first_start = gateway.settings.borrow().first_start;
     if first_start && directory.register_entry(own).await.is_ok() {
         // All entries register at this moment, and the list is still incomplete.
@@ -63,11 +61,8 @@
             None => {}
         }
     }
+    let mut read = first_read(directory).await;
     loop {
-        let read = match std::mem::take(&mut is_first_read) {
-            true => first_read(directory).await,
-            false => directory.entry_records().await,
-        };
         let delay = match read {
             Ok(records) => {
                 gateway.sharing.record_list_response();
@@ -91,19 +86,22 @@
             }
             Err(error) => {
                 log::debug!(error:% = error; "cannot read the list of entries");
-                let needs_list = gateway.sharing.list_state.get() < ListState::Loaded;
-                if needs_list && !has_peer_list {
-                    // The order of readers stays that of the seeds: by the list, this entry might
-                    // be the first one.
-                    if let Some(records) = fetch_from_seed(gateway, own).await {
-                        record_list(gateway, own, &records);
-                        has_peer_list = true;
-                    }
+                if gateway.sharing.encoded_list.borrow().is_none() {
+                    record_list_of_seed(gateway, own).await;
                 }
                 LIST_BACKOFF
             }
         };
         wait(gateway, directory, own, delay).await;
+        read = directory.entry_records().await;
+    }
+}
+
+/// Learns of the other entries from a seed while the directory is away. The order of readers stays that
+/// of the seeds: by the list, this entry might be the first one.
+async fn record_list_of_seed(gateway: &Gateway, own: &EntryRecord) {
+    if let Some(records) = fetch_from_seed(gateway, own).await {
+        record_list(gateway, own, &records);
     }
 }
 
