Let the first read of the list of entries run to its end

The suspected cause: the first read was given up after 0.3 s, so that entries which start together follow the seeds instead of the tree of readers. It is no longer given up; an entry asks a seed for the list once a read has failed.

--- a/src/process/gateway/history.rs
+++ b/src/process/gateway/history.rs
@@ -29,7 +29,7 @@
         );
     }
 
-    /// Resolves while the directory has returned since this entry last registered.
+    /// Resolves once the directory has returned after this entry last registered.
     pub async fn wait_for_return(&self) {
         while self.returns.get() == self.registered_returns.get() {
             monoio::time::sleep(POLL_INTERVAL).await;
--- a/src/process/gateway/sharing/membership.rs
+++ b/src/process/gateway/sharing/membership.rs
@@ -8,7 +8,6 @@
 use super::reader_order::ReaderOrder;
 use super::{entry_list, ListState};
 use crate::edge::directory::{Directory, EntryRecord};
-use crate::edge::Result;
 use crate::prelude::*;
 use crate::process::gateway::Gateway;
 
@@ -24,8 +23,6 @@
 const LIST_POLL_INTERVAL: Duration = Duration::from_secs(60);
 /// Pause after a failed read of the list.
 const LIST_BACKOFF: Duration = Duration::from_secs(1);
-/// Longest wait for the first read of the list before a seed is asked for it.
-const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time between two entries that register again after the directory has returned from a copy.
 const REWRITE_INTERVAL: Duration = Duration::from_millis(10);
 /// Shortest time over which all of them do.
@@ -61,9 +58,8 @@
             None => {}
         }
     }
-    let mut read = first_read(directory).await;
     loop {
-        let delay = match read {
+        let delay = match directory.entry_records().await {
             Ok(records) => {
                 gateway.sharing.record_list_response();
                 let is_listed = records.contains(own);
@@ -93,7 +89,6 @@
             }
         };
         wait(gateway, directory, own, delay).await;
-        read = directory.entry_records().await;
     }
 }
 
@@ -136,12 +131,6 @@
     }
 }
 
-/// The first read of the list, which is given up sooner than others.
-async fn first_read(directory: &dyn Directory) -> Result<Vec<EntryRecord>> {
-    let read = monoio::time::timeout(FIRST_READ_TIMEOUT, directory.entry_records()).await;
-    read.unwrap_or(Err(Error::PlatformTimeout))
-}
-
 /// Whether a list has a record with this entry's name, perhaps of an earlier process at another
 /// address.
 fn is_named(own: &EntryRecord, records: &[EntryRecord]) -> bool {
