Decode a list of entries in one place

entry_list::decode repeated the conversion of request_list, and turned a list that cannot be decoded into an empty one without a word. The list is one that this entry has encoded, so decoding cannot fail; now it says so. No change of behaviour: tests/histories.rs and tests/newcomer.rs pass.

--- a/src/process/gateway/sharing/entry_list.rs
+++ b/src/process/gateway/sharing/entry_list.rs
@@ -46,8 +46,11 @@
 
 /// Decodes a list that this entry has encoded.
 pub fn decode(message: &[u8]) -> Vec<EntryRecord> {
-    let body = message.get(frame::LENGTH_BYTES..).unwrap_or_default();
-    let wire: Vec<EntryRecordWire> = frame::decode(body).unwrap_or_default();
+    let wire = frame::decode(&message[frame::LENGTH_BYTES..]);
+    from_wire(wire.expect("the message is one of `encode`"))
+}
+
+fn from_wire(wire: Vec<EntryRecordWire>) -> Vec<EntryRecord> {
     wire.into_iter().map(Into::into).collect()
 }
 
@@ -60,5 +63,5 @@
     let mut stream = frame::connect(seed).await?;
     stream.write_all(vec![LIST_REQUEST]).await.0.ok()?;
     let wire: Vec<EntryRecordWire> = frame::read(&mut stream, MAX_BYTES).await.ok()?;
-    Some(wire.into_iter().map(Into::into).collect())
+    Some(from_wire(wire))
 }
